Close the caller's connection after a chunked or HTTP/1.0 request

Cause: net/http drops a Content-Length that stands beside 'Transfer-Encoding: chunked', and a Transfer-Encoding of HTTP/1.0, without a word, and keeps the connection. A peer sends such a request with a second one inside what its Content-Length calls the body; the node read the second as pipelined and forwarded it. RFC 9112, 6.1 asks for the close.

Ruled out: the module's second copies (the inner id came from a client's bytes), and leftover bytes on server connections.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -62,7 +62,7 @@
 	if hr.Method == http.MethodGet && hr.URL.Path == "/health/ready" {
 		return // 200: the front listens only once requests can be handled
 	}
-	if f.conns.Load() >= f.crowded {
+	if f.conns.Load() >= f.crowded || ambiguous(hr) {
 		w.Header().Set("Connection", "close")
 	}
 	r, err := f.read(w, hr)
@@ -85,6 +85,13 @@
 	}
 }
 
+// ambiguous says that the body's end may be elsewhere than where net/http took it to be: it drops a
+// Content-Length beside a Transfer-Encoding, and a Transfer-Encoding of HTTP/1.0, without a word. What
+// follows on the connection may belong to the body, so it must not be read as a request.
+func ambiguous(hr *http.Request) bool {
+	return len(hr.TransferEncoding) > 0 || !hr.ProtoAtLeast(1, 1)
+}
+
 // read takes a request in, its body included.
 func (f *front) read(w http.ResponseWriter, hr *http.Request) (*request, error) {
 	now := f.loop.clock.now()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -266,6 +266,43 @@
 	}
 }
 
+// What one framing takes for the body and another for the next request never reaches a server.
+func TestRequestInsideABody(t *testing.T) {
+	t.Parallel()
+	addr, got := stub(t, ok, false)
+	n := startNode(t, testConfig("127.0.0.1:1", serving("s", addr)), nil)
+	const id = "X-Correlation-Id: outer\r\nX-Time-Left: 9000m\r\n"
+	const inner = "GET /read/inner HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: inner\r\nX-Time-Left: 9000m\r\n\r\n"
+	for name, outer := range map[string]string{
+		"both lengths": "POST /order/1 HTTP/1.1\r\nHost: a\r\n" + id +
+			"Content-Length: 94\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"chunks of HTTP/1.0": "POST /order/1 HTTP/1.0\r\nConnection: keep-alive\r\n" + id +
+			"Transfer-Encoding: chunked\r\n\r\n",
+	} {
+		c, err := net.Dial("tcp", n.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(limit))
+		io.WriteString(c, outer+inner)
+		r := bufio.NewReader(c)
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		io.ReadAll(resp.Body)
+		if resp, err := http.ReadResponse(r, nil); err == nil {
+			t.Errorf("%s: a second answer: %s", name, resp.Status)
+		}
+	}
+	for len(got) > 0 {
+		if s := <-got; s.Header.Get("X-Correlation-Id") != "outer" {
+			t.Errorf("the server got %s", s.RequestURI)
+		}
+	}
+}
+
 func TestTimeLeftUnits(t *testing.T) {
 	for s, want := range map[string]time.Duration{"480m": 480 * time.Millisecond,
 		"1500u": 1500 * time.Microsecond, "2.5m": 2500 * time.Microsecond} {
