--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -21,10 +22,12 @@
 const ownDelay = 20 * time.Millisecond
 
 const (
-	headerTimeout = 10 * time.Second
-	bodyTimeout   = 10 * time.Second // beyond the time that the caller has left
-	idleTimeout   = 2 * time.Minute
-	maxHeader     = 16 << 10
+	// requestTimeout is how long a request may take to come in, its body included, from connecting or,
+	// for a later one, from its first bytes on. A peer that sends something else, or nothing, is owed an
+	// error or a close within 3 s of connecting, and holds a caller's place until then.
+	requestTimeout = 2500 * time.Millisecond
+	idleTimeout    = 2 * time.Minute
+	maxHeader      = 16 << 10
 )
 
 // front takes callers' requests and writes their answers.
@@ -45,7 +48,7 @@
 }
 
 func (f *front) server() *http.Server {
-	return &http.Server{Handler: f, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	return &http.Server{Handler: f, ReadTimeout: requestTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader,
 		ConnState: func(_ net.Conn, s http.ConnState) {
 			switch s {
@@ -73,6 +76,8 @@
 		status := http.StatusBadRequest
 		if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
 			status = http.StatusRequestEntityTooLarge
+		} else if errors.Is(err, os.ErrDeadlineExceeded) {
+			status = http.StatusRequestTimeout
 		}
 		w.Header().Set("Connection", "close") // no caller's, so not worth a caller's place
 		http.Error(w, err.Error(), status)
@@ -116,20 +121,13 @@
 		// Without its key the servers would run every repeat.
 		return nil, errors.New("Idempotency-Key is missing")
 	}
-	// A body that never ends must not hold the connection for good. The limit leaves more than the
-	// caller's time, and is lifted afterwards: run out once the body is in, it would pass for the
-	// caller's going away, and its request would be lost.
-	rc := http.NewResponseController(w)
-	if hr.ContentLength != 0 {
-		if err := rc.SetReadDeadline(time.Now().Add(left + bodyTimeout)); err != nil {
-			return nil, err
-		}
-	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, maxBody))
 	if err != nil {
 		return nil, fmt.Errorf("body: %w", err)
 	}
-	if err := rc.SetReadDeadline(time.Time{}); err != nil {
+	// requestTimeout is lifted: run out once the request is in, it would pass for the caller's going
+	// away, and the request would be lost.
+	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
 		return nil, err
 	}
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -340,6 +341,48 @@
 	}
 }
 
+// A peer that sends nothing, or half a request, has an error or a close soon after it connected, and a
+// request that took its time until then is served for as long as its caller waits.
+func TestSlowPeers(t *testing.T) {
+	t.Parallel()
+	if requestTimeout >= 3*time.Second {
+		t.Errorf("peers hold their places for %v", requestTimeout)
+	}
+	addr := listen(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			time.Sleep(requestTimeout + 500*time.Millisecond)
+			io.WriteString(c, ok)
+		}
+	})
+	n := startNode(t, testConfig("127.0.0.1:1", serving("s", addr)), nil)
+	const head = "POST /order/1 HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: c-1\r\nX-Time-Left: 9000m\r\nContent-Length: 9\r\n"
+	for sent, want := range map[string]string{
+		"":                     "",
+		head:                   "",
+		head + "\r\nhalf":      "HTTP/1.1 408 ",
+		head + "\r\nnine char": "HTTP/1.1 200 ",
+	} {
+		t.Run(strconv.Quote(sent), func(t *testing.T) {
+			t.Parallel()
+			c, err := net.Dial("tcp", n.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(requestTimeout + 5*time.Second))
+			io.WriteString(c, sent)
+			got := make([]byte, len(want))
+			if len(want) == 0 {
+				got = make([]byte, 1)
+			}
+			k, err := io.ReadFull(c, got)
+			if string(got[:k]) != want || errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("got %q, %v", got[:k], err)
+			}
+		})
+	}
+}
+
 func TestTimeLeftUnits(t *testing.T) {
 	for s, want := range map[string]time.Duration{"480m": 480 * time.Millisecond,
 		"1500u": 1500 * time.Microsecond, "2.5m": 2500 * time.Microsecond} {
