Reload on SIGHUP and follow discovery to its new address

It now reads its configuration again and opens its watch at the discovery named there, from the revision it holds; a file that cannot be read changes nothing.

Both new tests fail without the change: the program ends with 'signal: hangup', and no watch comes at the new address.

--- a/cmd/cranegrade/main.go
+++ b/cmd/cranegrade/main.go
@@ -1,5 +1,5 @@
-// Command cranegrade is one real node. ROUTER_CONFIG names its configuration; SIGTERM ends it once
-// all that it has taken is answered.
+// Command cranegrade is one real node. ROUTER_CONFIG names its configuration; SIGHUP makes it read
+// that again, and SIGTERM ends it once all that it has taken is answered.
 package main
 
 import (
@@ -20,13 +20,15 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := run(ctx); err != nil {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	if err := run(ctx, hangups); err != nil {
 		fmt.Fprintf(os.Stderr, "cranegrade: %v\n", err)
 		os.Exit(1)
 	}
 }
 
-func run(ctx context.Context) error {
+func run(ctx context.Context, hangups <-chan os.Signal) error {
 	path := os.Getenv("ROUTER_CONFIG")
 	if path == "" {
 		return errors.New("ROUTER_CONFIG is not set")
@@ -49,5 +51,19 @@
 		return err
 	}
 	log.Printf("listening on %s", n.Addr())
+	go reload(n, path, hangups)
 	return n.Run(ctx)
 }
+
+// reload gives the node its configuration anew at each hangup. One that can't be read changes nothing.
+func reload(n *node.Node, path string, hangups <-chan os.Signal) {
+	for range hangups {
+		cfg, err := node.LoadConfig(path)
+		if err != nil {
+			log.Printf("reload: %v", err)
+			continue
+		}
+		n.Reload(cfg)
+		log.Printf("reloaded: discovery at %s", cfg.Discovery)
+	}
+}
--- a/cmd/cranegrade/main_test.go
+++ b/cmd/cranegrade/main_test.go
@@ -66,9 +66,12 @@
 		}
 		_, listen, _ = strings.Cut(lines.Text(), "listening on ")
 	}
-	ended := make(chan error, 1)
+	ended, logged := make(chan error, 1), make(chan string, 10)
 	go func() {
 		for lines.Scan() {
+			if strings.Contains(lines.Text(), "reload") {
+				logged <- lines.Text()
+			}
 		}
 		ended <- cmd.Wait()
 	}()
@@ -94,6 +97,30 @@
 	if got, err := get("/read/1"); err != nil || got != "200 c-1" {
 		t.Errorf("request: %q, %v", got, err)
 	}
+	// A hangup moves the node to another discovery; it serves on. A file that makes no sense changes nothing.
+	for _, next := range []struct{ text, logged string }{
+		{"nonsense", "reload: "},
+		{strings.Replace(text, "127.0.0.1:1", "127.0.0.1:2", 1), "reloaded: discovery at 127.0.0.1:2"},
+	} {
+		if err := os.WriteFile(config, []byte(next.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		for line := ""; !strings.Contains(line, next.logged); {
+			select {
+			case line = <-logged:
+			case err := <-ended:
+				t.Fatalf("ended on a hangup: %v", err)
+			case <-time.After(limit):
+				t.Fatalf("no line %q", next.logged)
+			}
+		}
+	}
+	if got, err := get("/read/1"); err != nil || got != "200 c-1" {
+		t.Errorf("after the reload: %q, %v", got, err)
+	}
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -195,6 +195,35 @@
 	wait(t, asked)
 }
 
+// After a reload the list is followed at the new address, from where the old one left off.
+func TestReload(t *testing.T) {
+	t.Parallel()
+	before, lines, asked := registry(t)
+	after, newLines, newAsked := registry(t)
+	cfg := testConfig(before)
+	cfg.Settings.AskDiscovery = false
+	lists := make(chan hollyspur.ServerList, 10)
+	n := startNode(t, cfg, moduleFunc(func(e hollyspur.Event) []hollyspur.Action {
+		if l, is := e.(hollyspur.ServerList); is {
+			lists <- l
+		}
+		return nil
+	}))
+	wait(t, lists) // the cached one
+	wait(t, asked)
+	lines <- message(9, true, entry("a", "SERVING"))
+	wait(t, lists)
+	cfg.Discovery = after
+	n.Reload(cfg)
+	if got := wait(t, newAsked); !strings.HasSuffix(got, "since=9") {
+		t.Errorf("asked %s", got)
+	}
+	newLines <- message(10, false, entry("b", "SERVING"))
+	if l := wait(t, lists); l.Full || len(l.Servers) != 1 || l.Servers[0].ID != "b" {
+		t.Errorf("list %+v", l)
+	}
+}
+
 // Boot times are Unix time, as is the node's clock, whenever the node itself started.
 func TestBootTime(t *testing.T) {
 	c := clock{time.Now()}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -79,6 +79,7 @@
 	rev       int64 // of the list we hold
 	nextID    uint64
 	stopWatch context.CancelFunc
+	watching  bool // a watch was opened; a broken one is opened again
 }
 
 func newLoop(cfg Config, m module, up *upstream, disc *discovery) *loop {
@@ -312,14 +313,23 @@
 // rewatch is how long a broken watch rests where the list comes unasked; elsewhere the module says.
 const rewatch = time.Second
 
+// moveDiscovery follows the list at another address from now on, if it was followed at all. The old
+// address closes its connections soon, and a watch that waits for that falls behind.
+func (l *loop) moveDiscovery(d *discovery) {
+	l.discovery = d
+	if l.watching {
+		l.subscribe()
+	}
+}
+
 // subscribe opens a watch in place of the one before.
 func (l *loop) subscribe() {
 	l.stopWatch()
 	ctx, cancel := context.WithCancel(context.Background())
-	l.stopWatch = cancel
-	since := l.rev
+	l.stopWatch, l.watching = cancel, true
+	since, disc := l.rev, l.discovery
 	go func() {
-		err := l.discovery.watch(ctx, since, func(list List) {
+		err := disc.watch(ctx, since, func(list List) {
 			l.post(func() {
 				if ctx.Err() == nil { // else a newer watch tells the same
 					l.takeList(list, false)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,6 +55,11 @@
 // Addr is the address that the node listens on.
 func (n *Node) Addr() net.Addr { return n.listener.Addr() }
 
+// Reload takes over what may change while the node runs: discovery's address.
+func (n *Node) Reload(cfg Config) {
+	n.loop.post(func() { n.loop.moveDiscovery(newDiscovery(cfg.Discovery)) })
+}
+
 const (
 	// New connections come for up to 0.4 s after the signal, and closing the listener would reset those
 	// not yet accepted.
