Take the share shed out of the window's limit

Cause: steer lowered the limit on fill by the share shed times the servers' unevenness. Fast and slow machines, and few samples, make an unevenness of 0.1 on a healthy fleet, and shed counts a client's quick repeats, so the term was never off once shedding began.

--- a/policy.go
+++ b/policy.go
@@ -32,7 +32,6 @@
 	retryPurse  = 10   // most that can be saved up
 	aimFill     = 0.6  // mean latency over aim that admission lets be at the most
 	busyRatio   = 1.6  // and times the least mean latency over aim that was seen
-	shedding    = 4.0  // part of aimFill given up when all is shed, for each unit of unevenness
 	windowUp    = 0.02 // window gained by an answer in good time
 	windowDown  = 0.1  // window lost by a late one
 	windowStart = 5.0  // own calls admitted per server before anything is known
@@ -805,10 +804,10 @@
 	// Servers that were idle a while ago show how much of the aim bare work fills; crowding is what comes on
 	// top, and a fixed share of the aim would starve slow work or choke the servers of quick work.
 	b.bare = min(b.fill, b.bare+memory/16*(b.fill-b.bare))
-	// The more is shed and the less alike the servers are, the surer it is that some choke: then leaner
-	// is better, while servers that are evenly slow are merely busy. The floor keeps bare work that
-	// fills much of the aim from being taken for a crowd until nothing is sent.
-	if b.fill > min(aimFill, busyRatio*b.bare)*(1-b.shed*min(1, shedding*b.unevenness())) {
+	// What is shed must not lower the limit: then less is sent and more shed, and the window stays at its
+	// floor long after the crowd has gone. The floor keeps bare work that fills much of the aim from being
+	// taken for a crowd until nothing is sent.
+	if b.fill > min(aimFill, busyRatio*b.bare) {
 		b.window -= windowDown * min(1, b.window)
 	} else if float64(b.inFlight+1) >= 0.8*b.window {
 		b.window += windowUp * min(1, b.window)
@@ -816,20 +815,6 @@
 	b.window = max(b.window, windowFloor*b.fairServers())
 }
 
-// unevenness is the variance of the servers' mean log latencies.
-func (b *Balancer) unevenness() float64 {
-	var n, sum, squares float64
-	for _, s := range b.ready {
-		if s.samples > 0 {
-			n++
-			sum += s.slow
-			squares += s.slow * s.slow
-		}
-	}
-	n = max(n, 1)
-	return squares/n - sum/n*sum/n
-}
-
 // value is what an answer in a class adds to the result for the time it takes, so that shedding
 // hits what is worth least; the class served worst counts extra, so none starves.
 func (b *Balancer) value(r *request) float64 {
