Leave broken answers out of the window's steering

Cause: steer counted an attempt that ended Broken as one that took the whole aim, so a server that answers gibberish at once, or resets, passed for a crowd. Failure was left out already. With 3 % of such endings fill rises above its limit, the window falls to its floor, and the healthy servers' room is refused.

--- a/policy.go
+++ b/policy.go
@@ -793,7 +793,11 @@
 // choke and stay slow, so the crowd must wait or be refused here. It grows slowly: the crowd let in
 // a moment ago shows only when its answers come.
 func (b *Balancer) steer(r *request, e Outcome) {
-	if b.set.Tier > 0 || e.Ending == Withdrawn || e.Ending == Void || e.Ending == Failure {
+	switch e.Ending {
+	case Withdrawn, Void, Failure, Broken: // they tell of other things than a crowd
+		return
+	}
+	if b.set.Tier > 0 {
 		return
 	}
 	over := float64(b.now-r.attempts[e.Attempt].sent) / float64(r.class.Aim)
--- a/policy_test.go
+++ b/policy_test.go
@@ -698,6 +698,24 @@
 	}
 }
 
+// An answer that broke off says nothing of how crowded the servers are, however soon it came.
+func TestBrokenAnswersLeaveTheWindow(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(msec, ServerList{Full: true, Servers: servers(10)})
+	b.window = 100
+	r := &request{class: b.classes["get"], attempts: []*attempt{{sent: 0}}}
+	for range 50 {
+		b.now, b.inFlight = 200*msec, int(b.window)
+		before := b.fill
+		if b.steer(r, Outcome{Ending: Broken}); b.fill != before {
+			t.Fatalf("a broken answer took fill from %.2f to %.2f", before, b.fill)
+		}
+	}
+	if b.window != 100 {
+		t.Errorf("window from 100 to %.1f", b.window)
+	}
+}
+
 // What is shed must not hold the window down: a smaller window sheds more, and the copy would stay at
 // its floor long after the crowd has gone. Unevenness does not either: fast and slow machines differ.
 func TestSheddingLeavesTheWindow(t *testing.T) {
