Bound what is read of a server's answer

Found by reading: http.ReadResponse sets the head of an answer no limit, so a server that sends an endless one fills the node's memory within the attempt's time, and the node is killed. One MiB for head, framing, body and interim answers together is far more than the 64 KiB of a body need; past it the attempt has ended Broken. The test's server gets rid of all of its 256 MiB without the bound.

--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -20,6 +20,10 @@
 // maxBody is the most that a body holds, either way.
 const maxBody = 64 << 10
 
+// maxAnswer is the most that is read of a server's answer, with its head, its chunks' framing and any
+// interim answers before it. net/http sets a client no limit, and one endless head would fill the memory.
+const maxAnswer = 1 << 20
+
 // server is a listed server as the I/O sees it.
 type server struct {
 	id, addr string
@@ -57,7 +61,13 @@
 type conn struct {
 	net.Conn
 	r     *bufio.Reader
-	since time.Time // idle since
+	limit *io.LimitedReader // what r may still read from Conn
+	since time.Time         // idle since
+}
+
+func newConn(c net.Conn) *conn {
+	limit := &io.LimitedReader{R: c}
+	return &conn{Conn: c, r: bufio.NewReader(limit), limit: limit}
 }
 
 func newUpstream(cfg Config, most int) *upstream {
@@ -116,6 +126,7 @@
 		}
 		return result{ending: hollyspur.Unreachable}, false
 	}
+	c.limit.N = maxAnswer
 	resp, err := readResponse(c.r, r)
 	if err != nil {
 		return result{ending: endingOf(ctx)}, false
@@ -183,7 +194,7 @@
 		u.release()
 		return nil, err
 	}
-	return &conn{Conn: nc, r: bufio.NewReader(nc)}, nil
+	return newConn(nc), nil
 }
 
 func (u *upstream) takeIdle(s *server) *conn {
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -368,3 +368,32 @@
 		}
 	}
 }
+
+// An endless head must not fill the memory: the attempt ends broken, long before its time is out.
+func TestEndlessHead(t *testing.T) {
+	t.Parallel()
+	const most = 256 << 20
+	wrote := make(chan int, 1)
+	addr := listen(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		n, _ := io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		line := "X-Pad: " + strings.Repeat("x", 8<<10) + "\r\n"
+		for n < most {
+			k, err := io.WriteString(c, line)
+			n += k
+			if err != nil {
+				break
+			}
+		}
+		wrote <- n
+	})
+	n := startNode(t, testConfig("127.0.0.1:1", serving("s", addr)), nil)
+	if resp, _ := do(t, newRequest(t, n, "POST", "/order/1", "")); resp.StatusCode != 502 {
+		t.Errorf("answer %d", resp.StatusCode)
+	}
+	if n := wait(t, wrote); n >= most {
+		t.Errorf("all of %d bytes were read", n)
+	}
+}
