Trust idle connections no longer than servers keep them

Ruled out: crashes (the same servers answered at once on new connections) and malformed answers (no byte came back).

Now a drop halves the trusted idle time, answers bring it back slowly, and while it is below the settings' a request that must not run twice goes out on a new connection. Each half of the test fails with its half of the mend taken out.

--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -51,10 +51,11 @@
 	idleFor        time.Duration // ours are closed after standing idle for so long
 	connectTimeout time.Duration
 
-	mu   sync.Mutex
-	idle map[*server][]*conn // the latest used last
-	open int                 // connections there are, idle ones and dials among them
-	most int                 // and may be
+	mu      sync.Mutex
+	idle    map[*server][]*conn // the latest used last
+	open    int                 // connections there are, idle ones and dials among them
+	most    int                 // and may be
+	trusted time.Duration       // ours are used again after standing idle for less than this
 }
 
 // conn is a connection to a server; it carries one request at a time.
@@ -63,6 +64,7 @@
 	r     *bufio.Reader
 	limit *io.LimitedReader // what r may still read from Conn
 	since time.Time         // idle since
+	idled time.Duration     // how long it stood idle before its present use; 0: it is new
 }
 
 func newConn(c net.Conn) *conn {
@@ -77,6 +79,7 @@
 		connectTimeout: cfg.Conns.ConnectWithin,
 		idle:           map[*server][]*conn{},
 		most:           most,
+		trusted:        cfg.Conns.Idle * 3 / 4,
 	}
 }
 
@@ -90,7 +93,12 @@
 	if err := r.Write(&message); err != nil {
 		return result{ending: hollyspur.Void}
 	}
-	c, err := u.get(ctx, s)
+	connect := u.get
+	if !repeatable(r) && u.trust() < u.idleFor {
+		// Servers drop idle connections, and a reset leaves open whether it ran.
+		connect = u.dial
+	}
+	c, err := connect(ctx, s)
 	if ctx.Err() != nil || err == nil && !begin() {
 		// The dial took the attempt's time or its reason away.
 		if err == nil {
@@ -108,6 +116,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { c.Conn.Close() }) // all that stops an exchange
 	res, keep := exchange(ctx, c, r, message.Bytes())
+	u.learn(c, res)
 	if stop() && keep {
 		u.put(s, c)
 	} else {
@@ -173,18 +182,31 @@
 
 var errNoRoom = errors.New("no descriptor left for another connection")
 
+// repeatable says that the protocol lets a request run twice: it is a GET or carries a key.
+func repeatable(r *http.Request) bool {
+	return r.Method == http.MethodGet || r.Header.Get("Idempotency-Key") != ""
+}
+
 // get takes the idle connection used last, or dials.
 func (u *upstream) get(ctx context.Context, s *server) (*conn, error) {
 	for {
 		c := u.takeIdle(s)
 		if c == nil {
-			break
+			return u.dial(ctx, s)
 		}
-		if time.Since(c.since) < u.idleFor && c.alive() {
+		c.idled = max(1, time.Since(c.since))
+		alive := c.alive()
+		if alive && c.idled < u.trust() {
 			return c, nil
 		}
+		if !alive {
+			u.distrust(c.idled)
+		}
 		u.close(c)
 	}
+}
+
+func (u *upstream) dial(ctx context.Context, s *server) (*conn, error) {
 	if !u.reserve() {
 		return nil, errNoRoom
 	}
@@ -197,6 +219,35 @@
 	return newConn(nc), nil
 }
 
+func (u *upstream) trust() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.trusted
+}
+
+// distrust notes that a server dropped a connection that had stood idle for so long. Servers may close
+// idle connections whenever they like, and a request that crosses the close is lost to a reset.
+func (u *upstream) distrust(idled time.Duration) {
+	u.mu.Lock()
+	u.trusted = min(u.trusted, idled/2)
+	u.mu.Unlock()
+}
+
+// learn adjusts the trust in idle connections by how the use of one went. Trust comes back slowly.
+func (u *upstream) learn(c *conn, res result) {
+	switch {
+	case c.idled == 0:
+	case res.ending == hollyspur.Unreachable || res.ending == hollyspur.Broken && c.limit.N == maxAnswer:
+		u.distrust(c.idled) // not a byte came back
+	case res.ending == hollyspur.Success:
+		u.mu.Lock()
+		if c.idled > u.trusted/2 {
+			u.trusted = min(u.idleFor, u.trusted+u.trusted/50+1)
+		}
+		u.mu.Unlock()
+	}
+}
+
 func (u *upstream) takeIdle(s *server) *conn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -277,7 +328,7 @@
 // sweepStale closes idle connections that are too old or that their server has closed, lest they
 // hold descriptors until they would be used next.
 func (u *upstream) sweepStale() {
-	u.sweep(func(_ *server, c *conn) bool { return time.Since(c.since) >= u.idleFor || !c.alive() })
+	u.sweep(func(_ *server, c *conn) bool { return time.Since(c.since) >= u.trusted || !c.alive() })
 }
 
 // sweep closes the idle connections that drop names.
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -397,3 +397,62 @@
 		t.Errorf("all of %d bytes were read", n)
 	}
 }
+
+// Servers that drop idle connections early: once one did, a request that must not run twice goes out on a
+// new connection, and others on none that stood idle for nearly as long. Answers bring the trust back.
+func TestEarlyIdleClose(t *testing.T) {
+	t.Parallel()
+	var dials atomic.Int64
+	addr := listen(t, func(c net.Conn, r *bufio.Reader) {
+		dials.Add(1)
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			io.WriteString(c, ok)
+		}
+	})
+	u, s := newTestUpstream(10), newServer(addr)
+	send := func(method string) {
+		t.Helper()
+		r, err := http.NewRequest(method, "/order/1", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if res := u.attempt(context.Background(), s, r, func() bool { return true }); res.ending != hollyspur.Success {
+			t.Fatalf("%s ended with %d", method, res.ending)
+		}
+	}
+	send("POST")
+	send("POST")
+	if n := dials.Load(); n != 1 {
+		t.Fatalf("%d connections while idle ones are trusted", n)
+	}
+	u.learn(&conn{idled: time.Hour, limit: &io.LimitedReader{N: maxAnswer}}, result{ending: hollyspur.Broken})
+	if u.trust() != u.idleFor {
+		t.Errorf("a drop after an hour left %v of %v", u.trust(), u.idleFor)
+	}
+	u.learn(&conn{idled: 4 * time.Second, limit: &io.LimitedReader{N: maxAnswer - 1}}, result{ending: hollyspur.Broken})
+	u.learn(&conn{limit: &io.LimitedReader{N: maxAnswer}}, result{ending: hollyspur.Broken})
+	if u.trust() != u.idleFor {
+		t.Errorf("an answer cut short, or a new connection's reset, left %v", u.trust())
+	}
+	u.learn(&conn{idled: 4 * time.Second, limit: &io.LimitedReader{N: maxAnswer}}, result{ending: hollyspur.Broken})
+	if u.trust() != 2*time.Second {
+		t.Errorf("a drop after 4 s left %v", u.trust())
+	}
+	send("GET")
+	if n := dials.Load(); n != 1 {
+		t.Errorf("%d connections, though a GET may use one that was idle for a moment", n)
+	}
+	send("POST")
+	if n := dials.Load(); n != 2 {
+		t.Errorf("%d connections after a request that must not run twice, want a new one", n)
+	}
+	for range 1000 {
+		u.learn(&conn{idled: u.idleFor}, result{ending: hollyspur.Success})
+	}
+	if u.trust() != u.idleFor {
+		t.Errorf("answers brought trust back to %v only", u.trust())
+	}
+}
