Give an answer's writing a deadline

Found by reading: nothing bounded the writing of an answer, so a caller that has stopped reading, with answers of up to 64 KiB and more requests behind, held its place, a goroutine and the answer for good. The test fails without the deadline.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -181,7 +181,13 @@
 	}
 }
 
+// answerTimeout is how long a caller may take to read its answer. One that has stopped reading would hold
+// its place, and the answer's memory, for good.
+const answerTimeout = 5 * time.Second
+
 func write(w http.ResponseWriter, a answer) {
+	// net/http lifts it once the answer is out. An error means that the caller has gone.
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTimeout))
 	h := w.Header()
 	h["Content-Type"] = nil // no guessing
 	if a.contentType != "" {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strconv"
 	"strings"
@@ -383,6 +384,30 @@
 	}
 }
 
+// deadlineRecorder notes the write deadline that an answer was given.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	deadline time.Time
+}
+
+func (d *deadlineRecorder) SetWriteDeadline(t time.Time) error {
+	d.deadline = t
+	return nil
+}
+
+// A caller that does not read its answer must not hold its place for good.
+func TestAnswersHaveADeadline(t *testing.T) {
+	before := time.Now()
+	w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+	write(w, answer{status: 200, body: []byte("hi")})
+	if w.deadline.Before(before) || w.deadline.After(time.Now().Add(answerTimeout)) {
+		t.Errorf("written at %v with the deadline %v", before, w.deadline)
+	}
+	if w.Code != 200 || w.Body.String() != "hi" {
+		t.Errorf("answer %d %q", w.Code, w.Body)
+	}
+}
+
 func TestTimeLeftUnits(t *testing.T) {
 	for s, want := range map[string]time.Duration{"480m": 480 * time.Millisecond,
 		"1500u": 1500 * time.Microsecond, "2.5m": 2500 * time.Microsecond} {
