Answer a request of an unknown class with 404

They can only fail at a server, take its time, and count as bad endings against its health, so a rude peer could have healthy servers excluded. The settings name every class there is.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -33,7 +33,7 @@
 // front takes callers' requests and writes their answers.
 type front struct {
 	loop   *loop
-	effect map[string]hollyspur.Effect // by class; an unknown one is unsafe
+	effect map[string]hollyspur.Effect // by class
 
 	conns   atomic.Int64 // callers' connections
 	crowded int64        // from so many on they are closed after an answer, to make room
@@ -78,6 +78,8 @@
 			status = http.StatusRequestEntityTooLarge
 		} else if errors.Is(err, os.ErrDeadlineExceeded) {
 			status = http.StatusRequestTimeout
+		} else if errors.Is(err, errUnknownClass) {
+			status = http.StatusNotFound
 		}
 		w.Header().Set("Connection", "close") // no caller's, so not worth a caller's place
 		http.Error(w, err.Error(), status)
@@ -101,6 +103,9 @@
 	return len(hr.TransferEncoding) > 0 || !hr.ProtoAtLeast(1, 1)
 }
 
+// errUnknownClass ends what would fail at any server, where it would count against the server's health.
+var errUnknownClass = errors.New("not in the settings")
+
 // read takes a request in, its body included.
 func (f *front) read(w http.ResponseWriter, hr *http.Request) (*request, error) {
 	now := f.loop.clock.now()
@@ -110,14 +115,17 @@
 		return nil, err
 	}
 	class, _, _ := strings.Cut(strings.TrimPrefix(hr.URL.Path, "/"), "/")
+	effect, known := f.effect[class]
 	switch {
 	case hr.Method != http.MethodGet && hr.Method != http.MethodPost:
 		return nil, fmt.Errorf("method %s is neither GET nor POST", hr.Method)
 	case class == "":
 		return nil, errors.New("the path names no class")
+	case !known:
+		return nil, fmt.Errorf("the class %q: %w", class, errUnknownClass)
 	case h.Get("X-Correlation-Id") == "":
 		return nil, errors.New("X-Correlation-Id is missing")
-	case f.effect[class] == hollyspur.Keyed && h.Get("Idempotency-Key") == "":
+	case effect == hollyspur.Keyed && h.Get("Idempotency-Key") == "":
 		// Without its key the servers would run every repeat.
 		return nil, errors.New("Idempotency-Key is missing")
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -253,6 +253,7 @@
 		"not a number":  {"GET", "/read/1", "X-Time-Left", "NaNm", 0, 400},
 		"endless":       {"GET", "/read/1", "X-Time-Left", "1e300m", 0, 400},
 		"no class":      {"GET", "/", "A", "", 0, 400},
+		"unknown class": {"GET", "/reads/1", "A", "", 0, 404},
 		"method":        {"PUT", "/read/1", "A", "", 0, 400},
 		"no key":        {"POST", "/send/1", "A", "", 0, 400},
 		"body too long": {"POST", "/order/1", "A", "", maxBody + 1, 413},
