Hold a request for less than half of its time

Cause: a held request was kept until its answer might miss the aim, and with no server at all almost until its deadline.

--- a/policy.go
+++ b/policy.go
@@ -237,7 +237,7 @@
 	if c == nil {
 		c = b.order[len(b.order)-1] // unknown: unsafe
 	}
-	r := &request{id: e.ID, class: c, arrived: b.now, deadline: e.Deadline, repeat: e.Repeat,
+	r := &request{id: e.ID, class: c, came: b.now, arrived: b.now, deadline: e.Deadline, repeat: e.Repeat,
 		cost: float64(e.Cost)}
 	b.requests[e.ID] = r
 	b.backdate(r)
@@ -343,10 +343,10 @@
 }
 
 // holdUntil is how long holding makes sense: until an answer may well miss the aim, for late answers
-// take the room of those in time. With no server at all a late answer is the best there can be, so
-// then almost until the deadline.
+// take the room of those in time. With no server at all a late answer is the best there can be. Either
+// way the client hears before half of its time is over, while another try of its own still makes sense.
 func (b *Balancer) holdUntil(r *request) time.Duration {
-	last := r.deadline - 2*b.set.Tick
+	last := r.came + (r.deadline-r.came)/2 - 2*b.set.Tick
 	if len(b.ready) == 0 {
 		return last
 	}
--- a/policy_test.go
+++ b/policy_test.go
@@ -743,6 +743,31 @@
 	}
 }
 
+// A request is held for less than half of its time, with servers that are full and with none.
+func TestHeldForLessThanHalf(t *testing.T) {
+	for _, n := range []int{0, 2} {
+		b := newBalancer(t, nil)
+		b.Handle(msec, ServerList{Full: true, Servers: servers(n)})
+		b.window, b.inFlight = 1, windowLeast
+		const came, left = 2 * msec, 400 * msec
+		var refused time.Duration
+		acts := b.Handle(came, Request{ID: "a", Class: "get", Deadline: came + left})
+		for len(acts) > 0 && refused == 0 {
+			a := acts[0]
+			acts = acts[1:]
+			switch a := a.(type) {
+			case Wake:
+				acts = append(acts, b.Handle(a.At, Timer{Token: a.Token})...)
+			case Refuse, Fail:
+				refused = b.now
+			}
+		}
+		if refused == 0 || refused-came >= left/2 {
+			t.Errorf("%d servers: refused after %v of %v", n, refused-came, left)
+		}
+	}
+}
+
 // A refused client is not sent away for long: it would come back when its aim is mostly over.
 func TestRefusalsBringClientsBackSoon(t *testing.T) {
 	b := newBalancer(t, nil)
--- a/state.go
+++ b/state.go
@@ -70,7 +70,8 @@
 type request struct {
 	id        string
 	class     *class
-	arrived   time.Duration
+	came      time.Duration
+	arrived   time.Duration // the first of its client's tries, as far as is known
 	deadline  time.Duration
 	cost      float64 // hint of the work, in ns; 0: none
 	attempts  []*attempt
