Take the quiet level from a longer average than the crowd's

Cause: steer takes the least of fill for the level of bare work, and allows 1.6 times that. But fill is a mean of (window + 16) / 2 answers whose times differ as much as their work does, so its least is mostly noise, the more so the smaller the fleet. Limit and fill then meet with the servers half idle, and the window stays near its floor while requests are refused.

Faster growth of the window helped as much but choked servers in overload, which this does not.

--- a/policy.go
+++ b/policy.go
@@ -49,7 +49,7 @@
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0x51a7e)),
 		servers: map[string]*server{}, requests: map[string]*request{},
 		classes: map[string]*class{}, errors: 0.02, tokens: retryPurse / 2,
-		fill: aimFill / 2, bare: aimFill / 2}
+		fill: aimFill / 2, calm: aimFill / 2, bare: aimFill / 2}
 	longest := set.Classes[0]
 	for _, c := range set.Classes {
 		b.addClass(c)
@@ -805,9 +805,11 @@
 		over = max(over, 1)
 	}
 	b.fill += 2 / (b.window + 16) * (min(over, 1) - b.fill)
+	b.calm += 0.5 / (b.window + 16) * (min(over, 1) - b.calm)
+	// The least of a mean of few answers is mostly noise, and on a small fleet under half of the truth.
 	// Servers that were idle a while ago show how much of the aim bare work fills; crowding is what comes on
 	// top, and a fixed share of the aim would starve slow work or choke the servers of quick work.
-	b.bare = min(b.fill, b.bare+memory/16*(b.fill-b.bare))
+	b.bare = min(b.calm, b.bare+memory/16*(b.fill-b.bare))
 	// What is shed must not lower the limit: then less is sent and more shed, and the window stays at its
 	// floor long after the crowd has gone. The floor keeps bare work that fills much of the aim from being
 	// taken for a crowd until nothing is sent.
--- a/policy_test.go
+++ b/policy_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -743,6 +744,24 @@
 	}
 }
 
+// Requests differ, so a mean of few answers wavers; the least of it must not pass for the quiet level,
+// or a steady mean looks like a crowd half of the time and holds the window at its floor.
+func TestWindowBearsUnevenWork(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(msec, ServerList{Full: true, Servers: servers(4)})
+	rng := rand.New(rand.NewPCG(1, 2))
+	r := &request{class: b.classes["get"], attempts: []*attempt{{sent: 0}}}
+	start := b.window
+	for range 2000 {
+		b.now = time.Duration(math.Exp(rng.NormFloat64()) * float64(60*msec))
+		b.inFlight = int(b.window)
+		b.steer(r, Outcome{Ending: Success})
+	}
+	if b.window < 4*start {
+		t.Errorf("steady uneven work took the window from %.1f to %.1f", start, b.window)
+	}
+}
+
 // A request is held for less than half of its time, with servers that are full and with none.
 func TestHeldForLessThanHalf(t *testing.T) {
 	for _, n := range []int{0, 2} {
--- a/state.go
+++ b/state.go
@@ -29,7 +29,8 @@
 	window    float64       // own calls admitted at once (first tier)
 	fill      float64       // mean latency over aim
 	debt      float64       // time that calls hold servers, beyond what the window allows, in ns
-	bare      float64       // least fill seen, forgetting slowly
+	calm      float64       // the same over four times as many answers
+	bare      float64       // least calm seen, forgetting slowly
 	debtAt    time.Duration // when that was reckoned
 	inFlight  int
 	shed      float64 // share of requests answered without an attempt
