--- a/policy.go
+++ b/policy.go
@@ -806,7 +806,7 @@
 	}
 	b.fill += 2 / (b.window + 16) * (min(over, 1) - b.fill)
 	b.calm += 0.5 / (b.window + 16) * (min(over, 1) - b.calm)
-	// The least of a mean of few answers is mostly noise, and on a small fleet under half of the truth.
+	// The least of a mean of few answers is mostly noise, the more so the smaller the fleet.
 	// Servers that were idle a while ago show how much of the aim bare work fills; crowding is what comes on
 	// top, and a fixed share of the aim would starve slow work or choke the servers of quick work.
 	b.bare = min(b.calm, b.bare+memory/16*(b.fill-b.bare))
