--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -225,11 +225,15 @@
 	return u.trusted
 }
 
+// trustLeast is what trust falls to at the least. A drop after less is no idle limit but a crash, say, and
+// trust in next to no time would never be tried, so it would never come back.
+const trustLeast = 20 * time.Millisecond
+
 // distrust notes that a server dropped a connection that had stood idle for so long. Servers may close
 // idle connections whenever they like, and a request that crosses the close is lost to a reset.
 func (u *upstream) distrust(idled time.Duration) {
 	u.mu.Lock()
-	u.trusted = min(u.trusted, idled/2)
+	u.trusted = min(u.trusted, max(idled/2, trustLeast))
 	u.mu.Unlock()
 }
 
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -449,6 +449,10 @@
 	if n := dials.Load(); n != 2 {
 		t.Errorf("%d connections after a request that must not run twice, want a new one", n)
 	}
+	u.distrust(time.Microsecond) // a crash
+	if u.trust() != trustLeast {
+		t.Errorf("a drop after next to no time left %v", u.trust())
+	}
 	for range 1000 {
 		u.learn(&conn{idled: u.idleFor}, result{ending: hollyspur.Success})
 	}
