Read the work to expect from X-Facts

Found by reading: the front looked for X-Weight-Hint, a header of another deployment that no document here knows; PROTOCOL has such figures in X-Facts, under the simulator's names.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -149,13 +149,22 @@
 	own := min(ownDelay, left/4)
 	r := &request{class: class, repeat: h.Get("X-Repeat") == "1",
 		deadline: now + left - own, last: now + left - own/2,
-		forward: out, body: body, answer: make(chan answer, 1)}
-	if us, err := strconv.ParseFloat(h.Get("X-Weight-Hint"), 64); err == nil && us > 0 && us < 1e12 {
-		r.cost = time.Duration(us * float64(time.Microsecond))
-	}
+		cost: costHint(h.Get("X-Facts")), forward: out, body: body, answer: make(chan answer, 1)}
 	return r, nil
 }
 
+// costHint finds the work to expect among a request's further figures, name=value pairs set apart by
+// commas under the simulator's names. 0: not told.
+func costHint(facts string) time.Duration {
+	for _, fact := range strings.Split(facts, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(fact), "=")
+		if ms, err := strconv.ParseFloat(value, 64); name == "effort-ms" && err == nil && ms > 0 && ms < 1e9 {
+			return time.Duration(ms * float64(time.Millisecond))
+		}
+	}
+	return 0
+}
+
 // parseTimeLeft reads a number and a unit: m for milliseconds, u for microseconds.
 func parseTimeLeft(s string) (time.Duration, error) {
 	unit := time.Millisecond
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -418,6 +418,28 @@
 	}
 }
 
+// The module is told the work to expect, where a request's figures tell it.
+func TestCostHint(t *testing.T) {
+	t.Parallel()
+	costs := make(chan time.Duration, 1)
+	n := startNode(t, testConfig("127.0.0.1:1"), moduleFunc(func(e hollyspur.Event) []hollyspur.Action {
+		if r, is := e.(hollyspur.Request); is {
+			costs <- r.Cost
+			return []hollyspur.Action{hollyspur.Refuse{ID: r.ID}}
+		}
+		return nil
+	}))
+	for facts, want := range map[string]time.Duration{"": 0, "effort-ms=12.5": 12500 * time.Microsecond,
+		"item=7, effort-ms=3": 3 * time.Millisecond, "effort-ms=-1": 0, "effort-ms=NaN": 0, "effort-ms": 0} {
+		r := newRequest(t, n, "GET", "/read/1", "")
+		r.Header.Set("X-Facts", facts)
+		do(t, r)
+		if got := wait(t, costs); got != want {
+			t.Errorf("%q: %v, want %v", facts, got, want)
+		}
+	}
+}
+
 // A refusal is 503 with the advice in decimal seconds, a failure 502.
 func TestFinalAnswers(t *testing.T) {
 	t.Parallel()
