--- a/cmd/cranegrade/main.go
+++ b/cmd/cranegrade/main.go
@@ -37,6 +37,9 @@
 	if err != nil {
 		return err
 	}
+	if addr := os.Getenv("ROUTER_CONTROL"); addr != "" {
+		cfg.Control = addr // the file is the same for a process and the one that replaces it
+	}
 	log.SetFlags(log.Ltime | log.Lmicroseconds)
 	log.SetPrefix(cfg.Name + " ")
 	if cfg.MemoryMB > 0 {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -17,6 +17,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Control   string // where operators call; empty: nowhere
 	Seed      uint64
 	Cores     float64 // 0: not told
 	MemoryMB  float64 // 0: not told
@@ -51,6 +52,7 @@
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
 		Discovery string `json:"discovery"`
+		Control   string `json:"control"`
 		Seed      string `json:"seed"`
 		Limits    struct {
 			Cores    float64 `json:"cores"`
@@ -63,7 +65,7 @@
 	if err := json.Unmarshal(text, &raw); err != nil {
 		return Config{}, err
 	}
-	c := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery,
+	c := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Control: raw.Control,
 		Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets}
 	var err error
 	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
--- /dev/null
+++ b/internal/node/control_test.go
@@ -0,0 +1,186 @@
+package node
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// dial connects to addr until the test ends; nothing on the connection waits for longer than limit.
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(limit))
+	return c
+}
+
+// call makes an operator's call and returns the whole answer.
+func call(t *testing.T, n *Node, line string) string {
+	t.Helper()
+	c := dial(t, n.control.listener.Addr().String())
+	io.WriteString(c, line)
+	b, err := io.ReadAll(c)
+	if err != nil {
+		t.Fatalf("call %q: %v", line, err)
+	}
+	return string(b)
+}
+
+// startControlled runs a node with a second address, and waits until it serves.
+func startControlled(t *testing.T, cfg Config) *Node {
+	t.Helper()
+	cfg.Control = "127.0.0.1:0"
+	n := startNode(t, cfg, nil)
+	for end := time.Now().Add(limit); call(t, n, "check\n") != "ok\n"; {
+		if time.Now().After(end) {
+			t.Fatal("the node never serves")
+		}
+	}
+	return n
+}
+
+func TestControlAnswersEveryLine(t *testing.T) {
+	t.Parallel()
+	n := startControlled(t, testConfig("127.0.0.1:1"))
+	for line, begins := range map[string]string{
+		"check\r\n": "ok\n", "drain-off\n": "ok\n", "\n": "fail the line is empty\n", "nonsense\n": "fail unknown call\n",
+		"check it\n": "fail unknown call\n", strings.Repeat("x", controlLine) + "\n": "fail the line is too long\n",
+		"CHECK\n": "fail unknown call\n",
+	} {
+		got := call(t, n, line)
+		if !strings.HasPrefix(got, begins) || !strings.HasPrefix(got, "ok") && !strings.HasPrefix(got, "fail ") ||
+			strings.Count(got, "\n") != 1 {
+			t.Errorf("%.20q is answered %q", line, got)
+		}
+	}
+}
+
+// A line that never ends is no call.
+func TestControlUnfinishedLine(t *testing.T) {
+	t.Parallel()
+	n := startControlled(t, testConfig("127.0.0.1:1"))
+	c := dial(t, n.control.listener.Addr().String()).(*net.TCPConn)
+	io.WriteString(c, "drain-on")
+	c.CloseWrite()
+	if b, _ := io.ReadAll(c); string(b) != "fail the line has no end\n" {
+		t.Errorf("half a line is answered %q", b)
+	}
+	if n.front.drain.draining() {
+		t.Error("half a line was carried out")
+	}
+}
+
+// Callers that finish no call are let go, and hold up no other, however many they are.
+func TestControlStalledCallers(t *testing.T) {
+	t.Parallel()
+	n := startControlled(t, testConfig("127.0.0.1:1"))
+	var stalled []net.Conn
+	for range 3 * mostControl {
+		c := dial(t, n.control.listener.Addr().String())
+		io.WriteString(c, "che")
+		stalled = append(stalled, c)
+	}
+	if got := call(t, n, "drain-off\n"); got != "ok\n" {
+		t.Errorf("beside stalled callers: %q", got)
+	}
+	for _, c := range stalled {
+		io.ReadAll(c) // until the node ends it; a reset is as good
+	}
+	n.control.mu.Lock()
+	defer n.control.mu.Unlock()
+	if len(n.control.open) > mostControl {
+		t.Errorf("%d callers are held", len(n.control.open))
+	}
+}
+
+// A loop that hangs holds up no call.
+func TestControlNeverWaitsForTheLoop(t *testing.T) {
+	t.Parallel()
+	n := startControlled(t, testConfig("127.0.0.1:1"))
+	busy, free := make(chan struct{}), make(chan struct{})
+	n.loop.post(func() { close(busy); <-free })
+	defer close(free)
+	wait(t, busy)
+	for _, line := range []string{"check\n", "drain-on\n", "drain-off\n"} {
+		if got := call(t, n, line); got != "ok\n" {
+			t.Errorf("%q: %q", line, got)
+		}
+	}
+}
+
+func TestNoControlUnlessTold(t *testing.T) {
+	t.Parallel()
+	if n := startNode(t, testConfig("127.0.0.1:1"), nil); n.control != nil {
+		t.Error("a node that was told no address answers operators")
+	}
+}
+
+// A draining node says so, serves what comes, and parts with every connection; then it is back.
+func TestDrain(t *testing.T) {
+	t.Parallel()
+	addr, _ := stub(t, ok, false)
+	n := startControlled(t, testConfig("127.0.0.1:1", serving("s", addr)))
+	const request = "GET /read/1 HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: c-1\r\nX-Time-Left: 9000m\r\n\r\n"
+	ready := func() int {
+		resp, err := http.Get("http://" + n.Addr().String() + "/health/ready")
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	exchange := func(c net.Conn, r *bufio.Reader) *http.Response {
+		t.Helper()
+		io.WriteString(c, request)
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.ReadAll(resp.Body)
+		return resp
+	}
+	used, idle, unused := dial(t, n.Addr().String()), dial(t, n.Addr().String()), dial(t, n.Addr().String())
+	usedR, idleR := bufio.NewReader(used), bufio.NewReader(idle)
+	for range 2 {
+		exchange(used, usedR)
+		exchange(idle, idleR)
+	}
+	if got := call(t, n, "drain-on\n"); got != "ok\n" {
+		t.Fatalf("drain-on: %q", got)
+	}
+	if s := ready(); s != http.StatusServiceUnavailable {
+		t.Errorf("ready while draining: %d", s)
+	}
+	fresh := dial(t, n.Addr().String())
+	for name, c := range map[string]net.Conn{"used": used, "fresh": fresh} {
+		if resp := exchange(c, bufio.NewReader(c)); resp.StatusCode != 200 || !resp.Close {
+			t.Errorf("%s connection while draining: %d, closing %v", name, resp.StatusCode, resp.Close)
+		}
+	}
+	for name, c := range map[string]net.Conn{"idle": idle, "unused": unused, "used": used, "fresh": fresh} {
+		if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("the %s connection is not closed: %v", name, err)
+		}
+	}
+	if got := call(t, n, "drain-off\n"); got != "ok\n" {
+		t.Fatalf("drain-off: %q", got)
+	}
+	if s := ready(); s != http.StatusOK {
+		t.Errorf("ready after the drain: %d", s)
+	}
+	back := dial(t, n.Addr().String())
+	r := bufio.NewReader(back)
+	for range 2 {
+		if resp := exchange(back, r); resp.StatusCode != 200 || resp.Close {
+			t.Errorf("after the drain: %d, closing %v", resp.StatusCode, resp.Close)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/drain.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// drainSweep is how often a draining front looks for idle connections.
+	drainSweep = 100 * time.Millisecond
+	// drainIdle is how long one stands idle before it is closed. A client that is at work on its
+	// connection uses it by then, and hears from the answer that it is the last.
+	drainIdle = 500 * time.Millisecond
+)
+
+// callers knows which of the callers' connections carry no request now, and since when.
+type callers struct {
+	mu   sync.Mutex
+	idle map[net.Conn]time.Time
+}
+
+// note is told of every change of a connection's state.
+func (c *callers) note(conn net.Conn, s http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch s {
+	case http.StateNew, http.StateIdle:
+		c.idle[conn] = time.Now()
+	default:
+		delete(c.idle, conn)
+	}
+}
+
+// closeIdle closes the connections that have carried no request for at least so long.
+func (c *callers) closeIdle(least time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, since := range c.idle {
+		if time.Since(since) >= least {
+			conn.Close()
+			delete(c.idle, conn)
+		}
+	}
+}
+
+// drainer makes a front send clients away. While it is on, the front says that it is not ready, serves
+// every request that it gets, and parts with each connection after an answer or once it stands idle.
+type drainer struct {
+	callers *callers
+
+	mu    sync.Mutex
+	sweep *time.Timer // the next look for idle connections; nil: not draining
+}
+
+func (d *drainer) on() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.sweep == nil {
+		d.sweep = time.AfterFunc(drainSweep, d.closeIdle)
+	}
+}
+
+func (d *drainer) off() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.sweep != nil {
+		d.sweep.Stop()
+		d.sweep = nil
+	}
+}
+
+func (d *drainer) draining() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.sweep != nil
+}
+
+func (d *drainer) closeIdle() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.sweep != nil { // else it was called off just as it came due
+		d.callers.closeIdle(drainIdle)
+		d.sweep.Reset(drainSweep)
+	}
+}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -37,10 +37,14 @@
 
 	conns   atomic.Int64 // callers' connections
 	crowded int64        // from so many on they are closed after an answer, to make room
+	callers callers
+	drain   drainer
 }
 
 func newFront(l *loop, set hollyspur.Settings, mostConns int) *front {
-	f := &front{loop: l, effect: map[string]hollyspur.Effect{}, crowded: int64(mostConns) * 3 / 4}
+	f := &front{loop: l, effect: map[string]hollyspur.Effect{}, crowded: int64(mostConns) * 3 / 4,
+		callers: callers{idle: map[net.Conn]time.Time{}}}
+	f.drain.callers = &f.callers
 	for _, c := range set.Classes {
 		f.effect[c.Name] = c.Effect
 	}
@@ -50,7 +54,8 @@
 func (f *front) server() *http.Server {
 	return &http.Server{Handler: f, ReadTimeout: requestTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader,
-		ConnState: func(_ net.Conn, s http.ConnState) {
+		ConnState: func(c net.Conn, s http.ConnState) {
+			f.callers.note(c, s)
 			switch s {
 			case http.StateNew:
 				f.conns.Add(1)
@@ -66,9 +71,12 @@
 		// 200: the front listens only once requests can be handled. Whoever asked needs no more, and its
 		// connection would take a caller's place.
 		w.Header().Set("Connection", "close")
+		if f.drain.draining() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
-	if f.conns.Load() >= f.crowded || ambiguous(hr) {
+	if f.conns.Load() >= f.crowded || f.drain.draining() || ambiguous(hr) {
 		w.Header().Set("Connection", "close")
 	}
 	r, err := f.read(w, hr)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/net/netutil"
@@ -18,9 +19,11 @@
 	loop     *loop
 	front    *front
 	listener net.Listener
+	control  *control // nil: no address was told
 	known    List
 	linger   time.Duration // how long a stopping node goes on as before
 	patience time.Duration // how long callers may wait for what a stopping node has taken
+	serving  atomic.Bool   // callers are served
 }
 
 // reserved descriptors are for the listener, the watch, the log and the runtime.
@@ -40,18 +43,42 @@
 	if err != nil {
 		return nil, err
 	}
+	spare := cfg.Sockets - reserved
+	if cfg.Control != "" {
+		spare -= mostControl + 1
+	}
 	// A call out needs a caller, and callers hold idle connections besides: they get the larger part.
-	upstreams := max(1, (cfg.Sockets-reserved)*2/5)
-	callers := max(1, cfg.Sockets-reserved-upstreams)
+	upstreams := max(1, spare*2/5)
+	callers := max(1, spare-upstreams)
 	l := newLoop(cfg, m, newUpstream(cfg, upstreams), newDiscovery(cfg.Discovery))
 	n := &Node{loop: l, front: newFront(l, cfg.Settings, callers), known: cfg.Known, linger: linger,
 		listener: netutil.LimitListener(persistentListener{listener}, callers)}
 	for _, c := range cfg.Settings.Classes {
 		n.patience = max(n.patience, min(c.Deadline, maxPatience))
 	}
+	if cfg.Control != "" {
+		if n.control, err = newControl(cfg.Control, n.calls()); err != nil {
+			listener.Close()
+			return nil, fmt.Errorf("control: %w", err)
+		}
+	}
 	return n, nil
 }
 
+// calls are what operators may ask for at the second address.
+func (n *Node) calls() map[string]func() string {
+	return map[string]func() string{
+		"check": func() string {
+			if !n.serving.Load() {
+				return "fail not serving"
+			}
+			return "ok"
+		},
+		"drain-on":  func() string { n.front.drain.on(); return "ok" },
+		"drain-off": func() string { n.front.drain.off(); return "ok" },
+	}
+}
+
 // Addr is the address that the node listens on.
 func (n *Node) Addr() net.Addr { return n.listener.Addr() }
 
@@ -76,12 +103,18 @@
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	go n.loop.run(running)
+	if n.control != nil {
+		defer n.control.close()
+		go n.control.serve()
+	}
 	n.loop.post(func() {
 		n.loop.takeList(n.known, true)
 		if n.loop.pushed {
 			n.loop.subscribe()
 		}
+		n.serving.Store(true)
 	})
+	defer n.front.drain.off()
 	srv := n.front.server()
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(n.listener) }()
@@ -91,6 +124,7 @@
 	case <-ctx.Done():
 	}
 
+	n.serving.Store(false)
 	cutoff := time.Now().Add(n.patience + killedAfter - lastCall)
 	n.loop.after(time.Until(cutoff), n.loop.abandonAll)
 	select {
