Serve on an inherited socket, and leave its backlog to the successor

Ruled out on the way: answers in flight at SIGTERM did not close their connections, since ServeHTTP decided that when a request came in; it now does when the answer goes out, which drain needs too.

golang.org/x/net goes: its listener's limit is fixed, and the share of a process changes when its predecessor ends.

--- a/cmd/cranegrade/main.go
+++ b/cmd/cranegrade/main.go
@@ -11,7 +11,7 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
+	"strconv"
 	"syscall"
 
 	"hollyspur/internal/node"
@@ -40,12 +40,13 @@
 	if addr := os.Getenv("ROUTER_CONTROL"); addr != "" {
 		cfg.Control = addr // the file is the same for a process and the one that replaces it
 	}
+	if fd := os.Getenv("ROUTER_ACCEPT_FD"); fd != "" {
+		if cfg.AcceptFD, err = strconv.Atoi(fd); err != nil || cfg.AcceptFD < 3 {
+			return fmt.Errorf("ROUTER_ACCEPT_FD: %q is no inherited descriptor", fd)
+		}
+	}
 	log.SetFlags(log.Ltime | log.Lmicroseconds)
 	log.SetPrefix(cfg.Name + " ")
-	if cfg.MemoryMB > 0 {
-		// Collect harder well before the limit at which the node is killed.
-		debug.SetMemoryLimit(int64(cfg.MemoryMB * 0.7 * (1 << 20)))
-	}
 	if cfg.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
 	}
--- a/cmd/cranegrade/main_test.go
+++ b/cmd/cranegrade/main_test.go
@@ -153,3 +153,26 @@
 		}
 	}
 }
+
+// An inherited descriptor that is none, or no listening socket, fails the start with one plain line.
+func TestProgramBadDescriptor(t *testing.T) {
+	config := filepath.Join(t.TempDir(), "config.json")
+	text := `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f",
+		"settings":{"lanes":[{"name":"read","effect":"read_like","target-ms":1000,"deadline-ms":2000}],"limits":{"max-attempts":3}}}`
+	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, fd := range []string{"x", "-1", "1", "99"} {
+		cmd := command(t, config)
+		cmd.Env = append(cmd.Env, "ROUTER_ACCEPT_FD="+fd)
+		var stderr bytes.Buffer
+		cmd.Stderr = &stderr
+		err := cmd.Run()
+		if exit, is := err.(*exec.ExitError); !is || exit.ExitCode() != 1 {
+			t.Errorf("descriptor %q: %v", fd, err)
+		}
+		if s := stderr.String(); strings.Count(s, "\n") != 1 || !strings.Contains(s, "descriptor") {
+			t.Errorf("descriptor %q: standard error %q", fd, s)
+		}
+	}
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -18,6 +18,7 @@
 	Listen    string
 	Discovery string
 	Control   string // where operators call; empty: nowhere
+	AcceptFD  int    // the inherited socket on which callers connect; 0: none, listen on Listen
 	Seed      uint64
 	Cores     float64 // 0: not told
 	MemoryMB  float64 // 0: not told
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -36,13 +36,13 @@
 	effect map[string]hollyspur.Effect // by class
 
 	conns   atomic.Int64 // callers' connections
-	crowded int64        // from so many on they are closed after an answer, to make room
+	crowded atomic.Int64 // from so many on they are closed after an answer, to make room
 	callers callers
 	drain   drainer
 }
 
-func newFront(l *loop, set hollyspur.Settings, mostConns int) *front {
-	f := &front{loop: l, effect: map[string]hollyspur.Effect{}, crowded: int64(mostConns) * 3 / 4,
+func newFront(l *loop, set hollyspur.Settings) *front {
+	f := &front{loop: l, effect: map[string]hollyspur.Effect{},
 		callers: callers{idle: map[net.Conn]time.Time{}}}
 	f.drain.callers = &f.callers
 	for _, c := range set.Classes {
@@ -76,7 +76,7 @@
 		}
 		return
 	}
-	if f.conns.Load() >= f.crowded || f.drain.draining() || ambiguous(hr) {
+	if ambiguous(hr) {
 		w.Header().Set("Connection", "close")
 	}
 	r, err := f.read(w, hr)
@@ -96,6 +96,9 @@
 	f.loop.post(func() { f.loop.accept(r) })
 	select {
 	case a := <-r.answer:
+		if f.conns.Load() >= f.crowded.Load() || f.drain.draining() {
+			w.Header().Set("Connection", "close")
+		}
 		write(w, a)
 	case <-hr.Context().Done():
 		f.loop.post(func() { f.loop.gone(r) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,11 +6,11 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"hollyspur"
 )
 
@@ -18,7 +18,9 @@
 type Node struct {
 	loop     *loop
 	front    *front
-	listener net.Listener
+	listener *limitListener
+	cfg      Config   // as the node was started with
+	turn     *turn    // nil: the process is not replaced while it serves
 	control  *control // nil: no address was told
 	known    List
 	linger   time.Duration // how long a stopping node goes on as before
@@ -39,20 +41,21 @@
 }
 
 func newNode(cfg Config, m module) (*Node, error) {
-	listener, err := net.Listen("tcp", cfg.Listen)
+	listener, err := listenFor(cfg)
 	if err != nil {
 		return nil, err
 	}
-	spare := cfg.Sockets - reserved
-	if cfg.Control != "" {
-		spare -= mostControl + 1
+	l := newLoop(cfg, m, newUpstream(cfg, 1), newDiscovery(cfg.Discovery))
+	n := &Node{loop: l, front: newFront(l, cfg.Settings), cfg: cfg, known: cfg.Known, linger: linger,
+		listener: newLimitListener(persistentListener{listener}, 1)}
+	n.setShare(1)
+	if cfg.AcceptFD > 0 {
+		if n.turn, err = newTurn(os.TempDir(), cfg.Name); err != nil {
+			listener.Close()
+			return nil, fmt.Errorf("lock of the serving process: %w", err)
+		}
+		n.setShare(startingShare)
 	}
-	// A call out needs a caller, and callers hold idle connections besides: they get the larger part.
-	upstreams := max(1, spare*2/5)
-	callers := max(1, spare-upstreams)
-	l := newLoop(cfg, m, newUpstream(cfg, upstreams), newDiscovery(cfg.Discovery))
-	n := &Node{loop: l, front: newFront(l, cfg.Settings, callers), known: cfg.Known, linger: linger,
-		listener: netutil.LimitListener(persistentListener{listener}, callers)}
 	for _, c := range cfg.Settings.Classes {
 		n.patience = max(n.patience, min(c.Deadline, maxPatience))
 	}
@@ -65,6 +68,31 @@
 	return n, nil
 }
 
+func listenFor(cfg Config) (net.Listener, error) {
+	if cfg.AcceptFD > 0 {
+		return inherited(cfg.AcceptFD)
+	}
+	return net.Listen("tcp", cfg.Listen)
+}
+
+// setShare gives the process a share of the node's limits.
+func (n *Node) setShare(share float64) {
+	spare := n.cfg.Sockets - reserved
+	if n.cfg.Control != "" {
+		spare -= mostControl + 1
+	}
+	// A call out needs a caller, and callers hold idle connections besides: they get the larger part.
+	upstreams := max(1, spare*2/5)
+	callers := max(1, int(share*float64(spare-upstreams)))
+	n.loop.upstream.setMost(max(1, int(share*float64(upstreams))))
+	n.listener.setLimit(callers)
+	n.front.crowded.Store(int64(callers) * 3 / 4)
+	if n.cfg.MemoryMB > 0 {
+		// Collect harder well before the limit at which the node is killed.
+		debug.SetMemoryLimit(int64(share * n.cfg.MemoryMB * 0.7 * (1 << 20)))
+	}
+}
+
 // calls are what operators may ask for at the second address.
 func (n *Node) calls() map[string]func() string {
 	return map[string]func() string{
@@ -115,6 +143,10 @@
 		n.serving.Store(true)
 	})
 	defer n.front.drain.off()
+	if n.turn != nil {
+		defer n.turn.close()
+		go n.awaitTurn(running)
+	}
 	srv := n.front.server()
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(n.listener) }()
@@ -127,10 +159,18 @@
 	n.serving.Store(false)
 	cutoff := time.Now().Add(n.patience + killedAfter - lastCall)
 	n.loop.after(time.Until(cutoff), n.loop.abandonAll)
-	select {
-	case err := <-served:
-		return fmt.Errorf("serving callers: %w", err)
-	case <-time.After(n.linger):
+	if n.turn != nil {
+		// The successor takes what is in the backlog. Here callers finish what they have begun.
+		n.front.drain.on()
+		n.listener.Close()
+		<-served // returned for that, if for nothing before
+		time.Sleep(n.linger)
+	} else {
+		select {
+		case err := <-served:
+			return fmt.Errorf("serving callers: %w", err)
+		case <-time.After(n.linger):
+		}
 	}
 	closing, cancel := context.WithDeadline(context.Background(), cutoff.Add(lastCall/2))
 	defer cancel()
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -264,6 +264,13 @@
 	return c
 }
 
+// setMost changes how many connections there may be. Those over a lower limit stay until they are closed.
+func (u *upstream) setMost(most int) {
+	u.mu.Lock()
+	u.most = most
+	u.mu.Unlock()
+}
+
 // reserve counts a connection to be dialled. With none left an idle one of any server makes room.
 func (u *upstream) reserve() bool {
 	u.mu.Lock()
