--- a/hollyspur.go
+++ b/hollyspur.go
@@ -1,6 +1,7 @@
 // Package hollyspur decides where a load balancer sends each request, when it tries again and
 // when it gives up. It does no I/O: the host feeds events to a Balancer and carries out the
-// actions it returns. This file is the whole interface; every decision is in policy.go.
+// actions it returns, and may ask how many servers it Avoided. This file is the whole interface but for
+// New and that; every decision is in policy.go.
 //
 // A Balancer belongs to one goroutine. Its only clock is the now given to Handle, which must
 // never go back, and its only randomness is the seed given to New, so the same events always
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -32,8 +32,9 @@
 
 // front takes callers' requests and writes their answers.
 type front struct {
-	loop   *loop
-	effect map[string]hollyspur.Effect // by class
+	loop    *loop
+	metrics *metrics
+	effect  map[string]hollyspur.Effect // by class
 
 	conns   atomic.Int64 // callers' connections
 	crowded atomic.Int64 // from so many on they are closed after an answer, to make room
@@ -42,11 +43,12 @@
 }
 
 func newFront(l *loop, set hollyspur.Settings) *front {
-	f := &front{loop: l, effect: map[string]hollyspur.Effect{},
+	f := &front{loop: l, metrics: l.metrics, effect: map[string]hollyspur.Effect{},
 		callers: callers{idle: map[net.Conn]time.Time{}}}
 	f.drain.callers = &f.callers
 	for _, c := range set.Classes {
 		f.effect[c.Name] = c.Effect
+		f.metrics.list(c.Name)
 	}
 	return f
 }
@@ -100,6 +102,7 @@
 			w.Header().Set("Connection", "close")
 		}
 		write(w, a)
+		f.metrics.answered(r.class, a.status, false)
 	case <-hr.Context().Done():
 		f.loop.post(func() { f.loop.gone(r) })
 		// Returning would answer 200 with nothing in it, should the caller still read.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -59,6 +59,7 @@
 // module decides; hollyspur.Balancer is the one in service.
 type module interface {
 	Handle(now time.Duration, e hollyspur.Event) []hollyspur.Action
+	Avoided(now time.Duration) int
 }
 
 // loop owns the module. All its methods but post run on the one goroutine of run; I/O happens on
@@ -68,6 +69,7 @@
 	module      module
 	upstream    *upstream
 	discovery   *discovery
+	metrics     *metrics
 	maxAttempts int
 	pushed      bool // the list comes unasked: the node watches without a Subscribe
 	events      chan func()
@@ -82,26 +84,33 @@
 	watching  bool // a watch was opened; a broken one is opened again
 }
 
-func newLoop(cfg Config, m module, up *upstream, disc *discovery) *loop {
-	return &loop{clock: clock{time.Now()}, module: m, upstream: up, discovery: disc,
+func newLoop(cfg Config, m module, up *upstream, disc *discovery, counts *metrics) *loop {
+	return &loop{clock: clock{time.Now()}, module: m, upstream: up, discovery: disc, metrics: counts,
 		maxAttempts: cfg.Settings.MaxAttempts, pushed: !cfg.Settings.AskDiscovery,
 		events: make(chan func(), 1024), done: make(chan struct{}),
 		requests: map[string]*request{}, servers: map[string]*server{},
 		stopWatch: func() {}}
 }
 
+// askAvoided is how often the module is asked how many servers it avoids.
+const askAvoided = 200 * time.Millisecond
+
 // run works off events until ctx ends.
 func (l *loop) run(ctx context.Context) {
 	defer close(l.done)
 	defer func() { l.stopWatch() }()
 	sweep := time.NewTicker(time.Second)
 	defer sweep.Stop()
+	ask := time.NewTicker(askAvoided)
+	defer ask.Stop()
 	for {
 		select {
 		case f := <-l.events:
 			f()
 		case <-sweep.C:
 			go l.upstream.sweepStale()
+		case <-ask.C:
+			l.metrics.ejected.Store(int64(l.module.Avoided(l.clock.now())))
 		case <-ctx.Done():
 			return
 		}
@@ -159,6 +168,7 @@
 	l.nextID++
 	r.id = strconv.FormatUint(l.nextID, 10)
 	l.requests[r.id] = r
+	l.metrics.outstanding.Add(1)
 	// The module answers by the deadline; should it ever say nothing, the caller still gets an
 	// answer in time.
 	r.lastCall = l.after(r.last-l.clock.now(), func() {
@@ -206,7 +216,11 @@
 // close finishes a request; false if it was before.
 func (l *loop) close(r *request) bool {
 	r.lastCall.Stop()
-	return r.finished.CompareAndSwap(false, true)
+	first := r.finished.CompareAndSwap(false, true)
+	if first {
+		l.metrics.outstanding.Add(-1)
+	}
+	return first
 }
 
 // forget drops a request that is finished and has no attempt out.
@@ -299,6 +313,7 @@
 			}
 		}
 	}
+	l.metrics.discovered.Store(int64(len(l.servers)))
 	l.handle(e)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,7 +45,8 @@
 	if err != nil {
 		return nil, err
 	}
-	l := newLoop(cfg, m, newUpstream(cfg, 1), newDiscovery(cfg.Discovery))
+	counts := &metrics{}
+	l := newLoop(cfg, m, newUpstream(cfg, 1, counts), newDiscovery(cfg.Discovery), counts)
 	n := &Node{loop: l, front: newFront(l, cfg.Settings), cfg: cfg, known: cfg.Known, linger: linger,
 		listener: newLimitListener(persistentListener{listener}, 1)}
 	n.setShare(1)
@@ -102,6 +103,7 @@
 			}
 			return "ok"
 		},
+		"vars":      func() string { return n.loop.metrics.text() + "\neof" },
 		"drain-on":  func() string { n.front.drain.on(); return "ok" },
 		"drain-off": func() string { n.front.drain.off(); return "ok" },
 	}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -50,6 +50,7 @@
 type upstream struct {
 	idleFor        time.Duration // ours are closed after standing idle for so long
 	connectTimeout time.Duration
+	metrics        *metrics
 
 	mu      sync.Mutex
 	idle    map[*server][]*conn // the latest used last
@@ -72,11 +73,12 @@
 	return &conn{Conn: c, r: bufio.NewReader(limit), limit: limit}
 }
 
-func newUpstream(cfg Config, most int) *upstream {
+func newUpstream(cfg Config, most int, counts *metrics) *upstream {
 	return &upstream{
 		// Clearly before the server closes it: a request that crosses the close is lost to a reset.
 		idleFor:        cfg.Conns.Idle * 3 / 4,
 		connectTimeout: cfg.Conns.ConnectWithin,
+		metrics:        counts,
 		idle:           map[*server][]*conn{},
 		most:           most,
 		trusted:        cfg.Conns.Idle * 3 / 4,
@@ -115,7 +117,7 @@
 		return result{ending: hollyspur.Unreachable}
 	}
 	stop := context.AfterFunc(ctx, func() { c.Conn.Close() }) // all that stops an exchange
-	res, keep := exchange(ctx, c, r, message.Bytes())
+	res, keep := u.exchange(ctx, c, r, message.Bytes())
 	u.learn(c, res)
 	if stop() && keep {
 		u.put(s, c)
@@ -127,7 +129,7 @@
 
 // exchange writes one request and reads its answer. keep tells whether the connection can carry
 // another.
-func exchange(ctx context.Context, c *conn, r *http.Request, message []byte) (res result, keep bool) {
+func (u *upstream) exchange(ctx context.Context, c *conn, r *http.Request, message []byte) (res result, keep bool) {
 	if _, err := c.Write(message); err != nil {
 		// Not all of it was written, so it can't have run.
 		if ctx.Err() != nil {
@@ -135,6 +137,7 @@
 		}
 		return result{ending: hollyspur.Unreachable}, false
 	}
+	u.metrics.forwards.Add(1)
 	c.limit.N = maxAnswer
 	resp, err := readResponse(c.r, r)
 	if err != nil {
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -15,7 +15,7 @@
 )
 
 func newTestUpstream(most int) *upstream {
-	return newUpstream(testConfig("127.0.0.1:1"), most)
+	return newUpstream(testConfig("127.0.0.1:1"), most, &metrics{})
 }
 
 func newServer(addr string) *server {
--- a/policy.go
+++ b/policy.go
@@ -505,13 +505,17 @@
 		}
 	}
 	sort.SliceStable(sick, func(i, j int) bool { return sick[i].streak > sick[j].streak })
-	most := int(mostOut * (1 - b.shed) * float64(len(b.ready)))
-	for _, s := range sick[:min(len(sick), most)] {
+	for _, s := range sick[:min(len(sick), b.mostRuledOut())] {
 		out[s] = true
 	}
 	return out
 }
 
+// mostRuledOut is the most servers that health may keep out now.
+func (b *Balancer) mostRuledOut() int {
+	return int(mostOut * (1 - b.shed) * float64(len(b.ready)))
+}
+
 // narrow applies everything but the fallbacks. Apart it gives the idle cold servers: a request's first
 // try may go to one, whatever the thinning, when a deploy has left no warm server in the whole list.
 func (b *Balancer) narrow(r *request, from []*server, unfit map[*server]bool,
@@ -586,7 +590,7 @@
 
 // unfit says that a server should not be drawn now for its health.
 func (b *Balancer) unfit(s *server, r *request) bool {
-	if b.now < s.until || b.silent(s) {
+	if b.ailing(s) {
 		return true
 	}
 	// After an ejection one safe trial at a time decides: a bad server must not eat a request that
@@ -594,6 +598,21 @@
 	return s.level > 0 && s.goods == 0 && (r.class.Effect == Unsafe || s.calls > 0)
 }
 
+// ailing says that a server is out for its health, whatever the request.
+func (b *Balancer) ailing(s *server) bool { return b.now < s.until || b.silent(s) }
+
+// Avoided returns how many ready servers are kept out for their health at the clock time now.
+func (b *Balancer) Avoided(now time.Duration) int {
+	b.now = max(b.now, now)
+	n := 0
+	for _, s := range b.ready {
+		if b.ailing(s) {
+			n++
+		}
+	}
+	return min(n, b.mostRuledOut())
+}
+
 // silent says that an old call to the server is unanswered while a younger one was answered
 // elsewhere: a machine gone quiet, hung or pausing shows nothing else until time-outs end.
 func (b *Balancer) silent(s *server) bool {
--- a/policy_test.go
+++ b/policy_test.go
@@ -804,3 +804,21 @@
 	}
 	t.Error("not refused")
 }
+
+// Operators see how many servers are kept out for their health, and no more than are.
+func TestAvoidedCountsTheServersKeptOut(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(10)})
+	if n := b.Avoided(0); n != 0 {
+		t.Errorf("%d avoided at the start", n)
+	}
+	for i, s := range b.ready[:4] {
+		b.eject(s, b.classes["get"])
+		if n := b.Avoided(0); n != min(i+1, 2) {
+			t.Errorf("%d ejected, %d avoided; 2 of 10 may be", i+1, n)
+		}
+	}
+	if n := b.Avoided(time.Hour); n != 0 {
+		t.Errorf("%d avoided when every ejection is over", n)
+	}
+}
