Take changed settings at SIGHUP in one step, and turn down faulty files whole

Observed: with a probe that logged each file, SIGHUP brought a new class, fewer attempts, then a file with `max-attempts` 0, every class renamed and a dead discovery address, then an empty one. The untouched reload took the faulty one's address (main.go, Reload) and nothing of the settings: 404 for the new class, and 13 requests to drained servers as no list came any more.

New and addClass move to state.go, beside what lasts through new settings. The patience in TestStopServesWhatCame is set atomically now, as a reload may change it.

--- a/cmd/cranegrade/main.go
+++ b/cmd/cranegrade/main.go
@@ -59,15 +59,11 @@
 	return n.Run(ctx)
 }
 
-// reload gives the node its configuration anew at each hangup. One that can't be read changes nothing.
+// reload gives the node its configuration anew at each hangup. One with a fault changes nothing.
 func reload(n *node.Node, path string, hangups <-chan os.Signal) {
 	for range hangups {
-		cfg, err := node.LoadConfig(path)
-		if err != nil {
-			log.Printf("reload: %v", err)
-			continue
+		if err := n.ReloadFile(path); err != nil {
+			log.Printf("reload: the old configuration stays: %v", err)
 		}
-		n.Reload(cfg)
-		log.Printf("reloaded: discovery at %s", cfg.Discovery)
 	}
 }
--- a/hollyspur.go
+++ b/hollyspur.go
@@ -59,7 +59,7 @@
 	SizesLive                 // the capacity over the load of a while ago
 )
 
-// Settings are fixed for the life of a Balancer.
+// Settings hold for a Balancer until Retuned brings others.
 type Settings struct {
 	Classes     []Class
 	Balancers   int     // copies that place calls on this tier
@@ -192,6 +192,8 @@
 	ClientGone struct{ ID string }
 	// Timer is a Wake come due.
 	Timer struct{ Token string }
+	// Retuned brings other settings, for requests that come from now on.
+	Retuned struct{ Settings Settings }
 )
 
 func (ServerList) event() {}
@@ -201,6 +203,7 @@
 func (Started) event()    {}
 func (ClientGone) event() {}
 func (Timer) event()      {}
+func (Retuned) event()    {}
 
 // Action is something the host must do, in the order given: one of the types below.
 type Action interface{ action() }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -26,6 +26,7 @@
 	Known     List    // the servers as this node last had them
 	Settings  hollyspur.Settings
 	Conns     wire.Connections
+	shape     any // the file as decoded, for a later one to be compared with
 }
 
 // Used where the configuration does not tell.
@@ -68,7 +69,10 @@
 	}
 	c := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Control: raw.Control,
 		Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets}
-	var err error
+	err := json.Unmarshal(text, &c.shape)
+	if err != nil {
+		return Config{}, err
+	}
 	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
 		if _, _, err := net.SplitHostPort(a.addr); err != nil {
 			return Config{}, fmt.Errorf("%s: %q is no host:port", a.name, a.addr)
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -13,8 +13,6 @@
 	"strings"
 	"sync/atomic"
 	"time"
-
-	"hollyspur"
 )
 
 // ownDelay is what the node leaves of a caller's time for its own work and the way back, so that
@@ -34,7 +32,6 @@
 type front struct {
 	loop    *loop
 	metrics *metrics
-	effect  map[string]hollyspur.Effect // by class
 
 	conns   atomic.Int64 // callers' connections
 	crowded atomic.Int64 // from so many on they are closed after an answer, to make room
@@ -42,14 +39,9 @@
 	drain   drainer
 }
 
-func newFront(l *loop, set hollyspur.Settings) *front {
-	f := &front{loop: l, metrics: l.metrics, effect: map[string]hollyspur.Effect{},
-		callers: callers{idle: map[net.Conn]time.Time{}}}
+func newFront(l *loop) *front {
+	f := &front{loop: l, metrics: l.metrics, callers: callers{idle: map[net.Conn]time.Time{}}}
 	f.drain.callers = &f.callers
-	for _, c := range set.Classes {
-		f.effect[c.Name] = c.Effect
-		f.metrics.list(c.Name)
-	}
 	return f
 }
 
@@ -83,21 +75,16 @@
 	}
 	r, err := f.read(w, hr)
 	if err != nil {
-		status := http.StatusBadRequest
-		if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
-			status = http.StatusRequestEntityTooLarge
-		} else if errors.Is(err, os.ErrDeadlineExceeded) {
-			status = http.StatusRequestTimeout
-		} else if errors.Is(err, errUnknownClass) {
-			status = http.StatusNotFound
-		}
-		w.Header().Set("Connection", "close") // no caller's, so not worth a caller's place
-		http.Error(w, err.Error(), status)
+		reject(w, err)
 		return
 	}
 	f.loop.post(func() { f.loop.accept(r) })
 	select {
 	case a := <-r.answer:
+		if a.rejected != nil {
+			reject(w, a.rejected)
+			return
+		}
 		if f.conns.Load() >= f.crowded.Load() || f.drain.draining() {
 			w.Header().Set("Connection", "close")
 		}
@@ -110,6 +97,20 @@
 	}
 }
 
+// reject answers what is no request that the node takes.
+func reject(w http.ResponseWriter, err error) {
+	status := http.StatusBadRequest
+	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
+		status = http.StatusRequestEntityTooLarge
+	} else if errors.Is(err, os.ErrDeadlineExceeded) {
+		status = http.StatusRequestTimeout
+	} else if errors.Is(err, errUnknownClass) {
+		status = http.StatusNotFound
+	}
+	w.Header().Set("Connection", "close") // no caller's, so not worth a caller's place
+	http.Error(w, err.Error(), status)
+}
+
 // ambiguous says that the body's end may be elsewhere than where net/http took it to be: it drops a
 // Content-Length beside a Transfer-Encoding, and a Transfer-Encoding of HTTP/1.0, without a word. What
 // follows on the connection may belong to the body, so it must not be read as a request.
@@ -117,9 +118,6 @@
 	return len(hr.TransferEncoding) > 0 || !hr.ProtoAtLeast(1, 1)
 }
 
-// errUnknownClass ends what would fail at any server, where it would count against the server's health.
-var errUnknownClass = errors.New("not in the settings")
-
 // read takes a request in, its body included.
 func (f *front) read(w http.ResponseWriter, hr *http.Request) (*request, error) {
 	now := f.loop.clock.now()
@@ -129,19 +127,16 @@
 		return nil, err
 	}
 	class, _, _ := strings.Cut(strings.TrimPrefix(hr.URL.Path, "/"), "/")
-	effect, known := f.effect[class]
 	switch {
 	case hr.Method != http.MethodGet && hr.Method != http.MethodPost:
 		return nil, fmt.Errorf("method %s is neither GET nor POST", hr.Method)
 	case class == "":
 		return nil, errors.New("the path names no class")
-	case !known:
-		return nil, fmt.Errorf("the class %q: %w", class, errUnknownClass)
 	case h.Get("X-Correlation-Id") == "":
 		return nil, errors.New("X-Correlation-Id is missing")
-	case effect == hollyspur.Keyed && h.Get("Idempotency-Key") == "":
-		// Without its key the servers would run every repeat.
-		return nil, errors.New("Idempotency-Key is missing")
+	}
+	if err := f.loop.classes.Load().check(class, h); err != nil {
+		return nil, err
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, maxBody))
 	if err != nil {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -33,6 +33,8 @@
 	body     []byte
 	answer   chan answer // holds the final answer; never blocks
 
+	maxAttempts int // by the settings when it was accepted
+
 	finished atomic.Bool // answered, or its caller has gone; set by the loop alone
 	lastCall *time.Timer // for an answer by the node itself
 	attempts []*attempt
@@ -45,6 +47,7 @@
 	body        []byte
 	contentType string
 	retryAfter  time.Duration
+	rejected    error // not nil: the request was not taken, for this reason
 }
 
 // attempt is one Send of the module.
@@ -70,6 +73,7 @@
 	upstream    *upstream
 	discovery   *discovery
 	metrics     *metrics
+	classes     atomic.Pointer[classes] // swapped by the loop, read by the front too
 	maxAttempts int
 	pushed      bool // the list comes unasked: the node watches without a Subscribe
 	events      chan func()
@@ -85,11 +89,34 @@
 }
 
 func newLoop(cfg Config, m module, up *upstream, disc *discovery, counts *metrics) *loop {
-	return &loop{clock: clock{time.Now()}, module: m, upstream: up, discovery: disc, metrics: counts,
+	l := &loop{clock: clock{time.Now()}, module: m, upstream: up, discovery: disc, metrics: counts,
 		maxAttempts: cfg.Settings.MaxAttempts, pushed: !cfg.Settings.AskDiscovery,
 		events: make(chan func(), 1024), done: make(chan struct{}),
 		requests: map[string]*request{}, servers: map[string]*server{},
 		stopWatch: func() {}}
+	l.takeClasses(cfg.Settings)
+	return l
+}
+
+// retune takes over new settings and discovery's address, in one step.
+func (l *loop) retune(cfg Config) {
+	l.takeClasses(cfg.Settings)
+	l.maxAttempts, l.pushed = cfg.Settings.MaxAttempts, !cfg.Settings.AskDiscovery
+	l.upstream.retune(cfg.Conns)
+	l.handle(hollyspur.Retuned{Settings: cfg.Settings})
+	if cfg.Discovery != l.discovery.addr {
+		l.moveDiscovery(newDiscovery(cfg.Discovery))
+	} else if l.pushed && !l.watching {
+		l.subscribe()
+	}
+}
+
+// takeClasses puts the classes of the settings in force.
+func (l *loop) takeClasses(set hollyspur.Settings) {
+	l.classes.Store(newClasses(set))
+	for _, c := range set.Classes {
+		l.metrics.list(c.Name)
+	}
 }
 
 // askAvoided is how often the module is asked how many servers it avoids.
@@ -165,6 +192,12 @@
 
 // accept takes a request from the front.
 func (l *loop) accept(r *request) {
+	// The settings may have changed since the front looked.
+	if err := l.classes.Load().check(r.class, r.forward.Header); err != nil {
+		r.answer <- answer{rejected: err}
+		return
+	}
+	r.maxAttempts = l.maxAttempts
 	l.nextID++
 	r.id = strconv.FormatUint(l.nextID, 10)
 	l.requests[r.id] = r
@@ -249,7 +282,7 @@
 	r.attempts = append(r.attempts, at)
 	r.out++
 	s := l.servers[a.Server]
-	if r.finished.Load() || timeout <= 0 || s == nil || l.maxAttempts > 0 && at.n >= l.maxAttempts {
+	if r.finished.Load() || timeout <= 0 || s == nil || r.maxAttempts > 0 && at.n >= r.maxAttempts {
 		l.queue = append(l.queue, l.end(at, result{ending: hollyspur.Void}))
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,7 +24,8 @@
 	control  *control // nil: no address was told
 	known    List
 	linger   time.Duration // how long a stopping node goes on as before
-	patience time.Duration // how long callers may wait for what a stopping node has taken
+	patience atomic.Int64  // how long callers may wait for what a stopping node has taken
+	shape    any           // of the configuration in force; see Config
 	serving  atomic.Bool   // callers are served
 }
 
@@ -47,7 +48,7 @@
 	}
 	counts := &metrics{}
 	l := newLoop(cfg, m, newUpstream(cfg, 1, counts), newDiscovery(cfg.Discovery), counts)
-	n := &Node{loop: l, front: newFront(l, cfg.Settings), cfg: cfg, known: cfg.Known, linger: linger,
+	n := &Node{loop: l, front: newFront(l), cfg: cfg, known: cfg.Known, linger: linger,
 		listener: newLimitListener(persistentListener{listener}, 1)}
 	n.setShare(1)
 	if cfg.AcceptFD > 0 {
@@ -57,9 +58,8 @@
 		}
 		n.setShare(startingShare)
 	}
-	for _, c := range cfg.Settings.Classes {
-		n.patience = max(n.patience, min(c.Deadline, maxPatience))
-	}
+	n.patience.Store(int64(patienceFor(cfg.Settings)))
+	n.shape = cfg.shape
 	if cfg.Control != "" {
 		if n.control, err = newControl(cfg.Control, n.calls()); err != nil {
 			listener.Close()
@@ -112,11 +112,6 @@
 // Addr is the address that the node listens on.
 func (n *Node) Addr() net.Addr { return n.listener.Addr() }
 
-// Reload takes over what may change while the node runs: discovery's address.
-func (n *Node) Reload(cfg Config) {
-	n.loop.post(func() { n.loop.moveDiscovery(newDiscovery(cfg.Discovery)) })
-}
-
 const (
 	// New connections come for up to 0.4 s after the signal, and closing the listener would reset those
 	// not yet accepted.
@@ -159,7 +154,7 @@
 	}
 
 	n.serving.Store(false)
-	cutoff := time.Now().Add(n.patience + killedAfter - lastCall)
+	cutoff := time.Now().Add(time.Duration(n.patience.Load()) + killedAfter - lastCall)
 	n.loop.after(time.Until(cutoff), n.loop.abandonAll)
 	if n.turn != nil {
 		// The successor takes what is in the backlog. Here callers finish what they have begun.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -628,7 +628,8 @@
 	if n.linger <= 400*time.Millisecond {
 		t.Errorf("new connections are taken for %v only", n.linger)
 	}
-	n.linger, n.patience = 3*time.Second, limit // a slow machine gets more
+	n.linger = 3 * time.Second // a slow machine gets more
+	n.patience.Store(int64(limit))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- n.Run(ctx) }()
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"hollyspur"
+	"hollyspur/internal/wire"
 )
 
 // maxBody is the most that a body holds, either way.
@@ -48,15 +49,15 @@
 // request again by itself when a reused connection breaks, which would be an attempt that nobody
 // counted, perhaps to a server that drains by then.
 type upstream struct {
+	metrics *metrics
+
+	mu             sync.Mutex
 	idleFor        time.Duration // ours are closed after standing idle for so long
 	connectTimeout time.Duration
-	metrics        *metrics
-
-	mu      sync.Mutex
-	idle    map[*server][]*conn // the latest used last
-	open    int                 // connections there are, idle ones and dials among them
-	most    int                 // and may be
-	trusted time.Duration       // ours are used again after standing idle for less than this
+	idle           map[*server][]*conn // the latest used last
+	open           int                 // connections there are, idle ones and dials among them
+	most           int                 // and may be
+	trusted        time.Duration       // ours are used again after standing idle for less than this
 }
 
 // conn is a connection to a server; it carries one request at a time.
@@ -75,16 +76,27 @@
 
 func newUpstream(cfg Config, most int, counts *metrics) *upstream {
 	return &upstream{
-		// Clearly before the server closes it: a request that crosses the close is lost to a reset.
-		idleFor:        cfg.Conns.Idle * 3 / 4,
+		idleFor:        usable(cfg.Conns.Idle),
 		connectTimeout: cfg.Conns.ConnectWithin,
 		metrics:        counts,
 		idle:           map[*server][]*conn{},
 		most:           most,
-		trusted:        cfg.Conns.Idle * 3 / 4,
+		trusted:        usable(cfg.Conns.Idle),
 	}
 }
 
+// usable is how long an idle connection may be used that its server closes after idle: clearly before
+// that, for a request that crosses the close is lost to a reset.
+func usable(idle time.Duration) time.Duration { return idle * 3 / 4 }
+
+// retune takes over new settings of connections.
+func (u *upstream) retune(set wire.Connections) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.idleFor, u.connectTimeout = usable(set.Idle), set.ConnectWithin
+	u.trusted = min(u.trusted, u.idleFor)
+}
+
 // attempt sends r to s once and waits for the answer until ctx ends. It writes nothing unless
 // begin agrees at the moment of writing.
 func (u *upstream) attempt(ctx context.Context, s *server, r *http.Request, begin func() bool) result {
@@ -96,7 +108,7 @@
 		return result{ending: hollyspur.Void}
 	}
 	connect := u.get
-	if !repeatable(r) && u.trust() < u.idleFor {
+	if !repeatable(r) && u.distrustful() {
 		// Servers drop idle connections, and a reset leaves open whether it ran.
 		connect = u.dial
 	}
@@ -213,7 +225,9 @@
 	if !u.reserve() {
 		return nil, errNoRoom
 	}
+	u.mu.Lock()
 	d := net.Dialer{Timeout: u.connectTimeout}
+	u.mu.Unlock()
 	nc, err := d.DialContext(ctx, "tcp", s.addr)
 	if err != nil {
 		u.release()
@@ -228,6 +242,13 @@
 	return u.trusted
 }
 
+// distrustful says that idle connections are trusted for less than the settings would have it.
+func (u *upstream) distrustful() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.trusted < u.idleFor
+}
+
 // trustLeast is what trust falls to at the least. A drop after less is no idle limit but a crash, say, and
 // trust in next to no time would never be tried, so it would never come back.
 const trustLeast = 20 * time.Millisecond
--- a/policy.go
+++ b/policy.go
@@ -8,7 +8,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"sort"
 	"time"
 )
@@ -41,32 +40,6 @@
 	subsetShare = 3.0  // and at the least this many times its fair share of the servers
 )
 
-// New returns a Balancer that knows no servers yet. The error names the setting at fault.
-func New(set Settings, seed uint64) (*Balancer, error) {
-	if err := set.Validate(); err != nil {
-		return nil, err
-	}
-	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0x51a7e)),
-		servers: map[string]*server{}, requests: map[string]*request{},
-		classes: map[string]*class{}, errors: 0.02, tokens: retryPurse / 2,
-		fill: aimFill / 2, calm: aimFill / 2, bare: aimFill / 2}
-	longest := set.Classes[0]
-	for _, c := range set.Classes {
-		b.addClass(c)
-		if c.Deadline > longest.Deadline {
-			longest = c
-		}
-	}
-	b.addClass(Class{Aim: longest.Aim, Deadline: longest.Deadline, Worth: longest.Worth})
-	return b, nil
-}
-
-func (b *Balancer) addClass(c Class) {
-	k := &class{Class: c, mean: float64(c.Aim) / 4, dev: float64(c.Aim) / 8}
-	b.classes[c.Name] = k
-	b.order = append(b.order, k)
-}
-
 // ---- Events ----
 
 // Handle takes one event at the clock time now and returns what to do, in order.
@@ -91,6 +64,8 @@
 		}
 	case Timer:
 		b.takeTimer(e)
+	case Retuned:
+		b.retune(e.Settings)
 	}
 	return b.out
 }
@@ -148,6 +123,20 @@
 		s.Server = n
 		s.listed = n.State != Gone
 	}
+	b.arrange()
+	if b.window == 0 {
+		b.window = windowStart * b.fairServers()
+	}
+	if e.Cached {
+		b.askAgain()
+	} else {
+		b.subFails = 0
+	}
+	b.release()
+}
+
+// arrange puts the ready servers in order, cuts the groups and takes this copy's subset.
+func (b *Balancer) arrange() {
 	b.ready = b.ready[:0]
 	for id, s := range b.servers {
 		if !s.listed && s.calls == 0 {
@@ -174,15 +163,6 @@
 		b.largest = max(b.largest, b.size(s))
 		b.meanSize += b.size(s) / float64(len(b.subset))
 	}
-	if b.window == 0 {
-		b.window = windowStart * b.fairServers()
-	}
-	if e.Cached {
-		b.askAgain()
-	} else {
-		b.subFails = 0
-	}
-	b.release()
 }
 
 // takeSubset keeps a copy to a few servers, evenly from along the shared order, so that all
@@ -238,7 +218,7 @@
 		c = b.order[len(b.order)-1] // unknown: unsafe
 	}
 	r := &request{id: e.ID, class: c, came: b.now, arrived: b.now, deadline: e.Deadline, repeat: e.Repeat,
-		cost: float64(e.Cost)}
+		cost: float64(e.Cost), most: max(1, b.set.MaxAttempts)}
 	b.requests[e.ID] = r
 	b.backdate(r)
 	for _, k := range b.order {
@@ -739,7 +719,7 @@
 
 // maySendAgain says that the class's effect and the limits allow one more attempt now.
 func (b *Balancer) maySendAgain(r *request) bool {
-	if r.answered || r.streaming || len(r.attempts) >= max(1, b.set.MaxAttempts) {
+	if r.answered || r.streaming || len(r.attempts) >= r.most {
 		return false
 	}
 	for _, a := range r.attempts {
--- a/policy_test.go
+++ b/policy_test.go
@@ -822,3 +822,37 @@
 		t.Errorf("%d avoided when every ejection is over", n)
 	}
 }
+
+// New settings bind the requests that come after them. Those in hand keep their class and attempts, and
+// what was learned stays.
+func TestNewSettingsBindNewRequests(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(8)})
+	b.classes["get"].mean, b.window = float64(77*msec), 33
+	b.ready[0].slow = 0.5
+	sent := sends(b.Handle(0, Request{ID: "old", Class: "get", Deadline: 1500 * msec}))[0]
+	next := testSettings()
+	next.MaxAttempts = 1
+	next.Classes[0].Effect = Unsafe
+	next.Classes[2] = Class{Name: "put", Effect: Safe, Aim: 500 * msec, Deadline: 1500 * msec, Worth: 1}
+	b.Handle(msec, Retuned{Settings: next})
+	if b.classes["get"].mean != float64(77*msec) || b.window != 33 || b.ready[0].slow != 0.5 {
+		t.Error("what was learned is lost")
+	}
+	if again := sends(b.Handle(2*msec, Outcome{ID: "old", Server: sent.Server, Ending: Failure})); len(again) != 1 {
+		t.Errorf("the request in hand, safe when it came, got %d more attempts", len(again))
+	}
+	for id, class := range map[string]string{"now unsafe": "get", "new": "put"} {
+		s := sends(b.Handle(3*msec, Request{ID: id, Class: class, Deadline: 1500 * msec}))
+		if len(s) != 1 {
+			t.Fatalf("%s: %d sends", id, len(s))
+		}
+		if again := sends(b.Handle(4*msec, Outcome{ID: id, Server: s[0].Server, Ending: Failure})); len(again) > 0 {
+			t.Errorf("%s: a second attempt, of 1", id)
+		}
+	}
+	b.Handle(5*msec, Retuned{})
+	if b.set.MaxAttempts != 1 || b.classes["put"] == nil {
+		t.Error("settings that make no sense were taken")
+	}
+}
--- a/state.go
+++ b/state.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// What a Balancer remembers: types only; policy.go fills and reads them.
+// What a Balancer remembers, how it begins and what of it lasts through new settings; policy.go fills
+// and reads it.
 
 // Balancer decides for one node. See the package comment for its contract.
 type Balancer struct {
@@ -38,6 +39,57 @@
 	subWanted time.Duration
 }
 
+// New returns a Balancer that knows no servers yet. The error names the setting at fault.
+func New(set Settings, seed uint64) (*Balancer, error) {
+	if err := set.Validate(); err != nil {
+		return nil, err
+	}
+	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0x51a7e)),
+		servers: map[string]*server{}, requests: map[string]*request{},
+		classes: map[string]*class{}, errors: 0.02, tokens: retryPurse / 2,
+		fill: aimFill / 2, calm: aimFill / 2, bare: aimFill / 2}
+	b.addClasses()
+	return b, nil
+}
+
+// addClasses adds the classes of the settings and one for requests of any other.
+func (b *Balancer) addClasses() {
+	longest := b.set.Classes[0]
+	for _, c := range b.set.Classes {
+		b.addClass(c)
+		if c.Deadline > longest.Deadline {
+			longest = c
+		}
+	}
+	b.addClass(Class{Aim: longest.Aim, Deadline: longest.Deadline, Worth: longest.Worth})
+}
+
+func (b *Balancer) addClass(c Class) {
+	k := &class{Class: c, mean: float64(c.Aim) / 4, dev: float64(c.Aim) / 8}
+	b.classes[c.Name] = k
+	b.order = append(b.order, k)
+}
+
+// retune puts new settings in force. Requests in hand keep their class as it was, and what was learned of
+// a class goes over to the one of its name. Settings that New would refuse change nothing.
+func (b *Balancer) retune(set Settings) {
+	if set.Validate() != nil {
+		return
+	}
+	learned := b.classes
+	b.set, b.classes, b.order = set, map[string]*class{}, nil
+	b.addClasses()
+	for name, k := range b.classes {
+		if was := learned[name]; was != nil {
+			c := k.Class
+			*k = *was
+			k.Class = c
+		}
+	}
+	b.arrange()
+	b.release()
+}
+
 // class holds what was learned of a class.
 type class struct {
 	Class
@@ -74,6 +126,7 @@
 	came      time.Duration
 	arrived   time.Duration // the first of its client's tries, as far as is known
 	deadline  time.Duration
+	most      int     // attempts, by the settings when it came
 	cost      float64 // hint of the work, in ns; 0: none
 	attempts  []*attempt
 	out       int
