Pass long bodies on as they come, within one memory budget

At fault: maxBody in upstream.exchange and front.read, which make every longer body a broken one that is tried again; http.Server's ReadTimeout, 2.5 s for a request however long; a request's time, which ran from its head and not from its last byte.

Ruled out on the way: a caller that stalled amid a long body got no 408 but a close every other time, since net/http ends the request's context with the failed read.

--- a/hollyspur.go
+++ b/hollyspur.go
@@ -172,6 +172,7 @@
 		Deadline time.Duration // clock time
 		Repeat   bool          // the client marked it as a repeat
 		Cost     time.Duration // hint of its work, as time on a standard core; 0: no hint
+		Long     bool          // its body is passed on as it comes; its time begins when it is Taken
 	}
 	// Outcome ends one attempt. Ended: the request has its final answer.
 	Outcome struct {
@@ -181,9 +182,16 @@
 		Ending  Ending
 		Latency time.Duration
 		Ended   bool
+		Spent   bool // a Long request's body cannot be sent again
 		Load    *Load
 	}
-	// Started says that a streamed answer has begun: the attempt is the client's from here on.
+	// Taken says that the last byte of a Long request has gone out, and when it is to be answered by.
+	Taken struct {
+		ID       string
+		Attempt  int
+		Deadline time.Duration // clock time
+	}
+	// Started says that a streamed or long answer has begun: the attempt is the client's from here on.
 	Started struct {
 		ID      string
 		Attempt int
@@ -200,6 +208,7 @@
 func (ListFailed) event() {}
 func (Request) event()    {}
 func (Outcome) event()    {}
+func (Taken) event()      {}
 func (Started) event()    {}
 func (ClientGone) event() {}
 func (Timer) event()      {}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -29,9 +29,11 @@
 	cost     time.Duration
 	deadline time.Duration // clock time by which the module is to answer
 	last     time.Duration // clock time at which the node answers for it
+	left     time.Duration // how long the caller waits from the request's last byte on
 	forward  *http.Request // what goes to a server
-	body     []byte
-	answer   chan answer // holds the final answer; never blocks
+	body     []byte        // as much of it as is held
+	rest     *callerBody   // what follows of a long one; nil: nothing
+	answer   chan answer   // holds the final answer; never blocks
 
 	maxAttempts int // by the settings when it was accepted
 
@@ -47,7 +49,8 @@
 	body        []byte
 	contentType string
 	retryAfter  time.Duration
-	rejected    error // not nil: the request was not taken, for this reason
+	stream      *download // not nil: the body, as it comes
+	rejected    error     // not nil: the request was not taken, for this reason
 }
 
 // attempt is one Send of the module.
@@ -57,6 +60,8 @@
 	server string
 	sent   time.Duration
 	cancel context.CancelCauseFunc
+	timer  *time.Timer // cancels it when its time is over
+	begun  bool        // its answer is being passed on, as the request's
 }
 
 // module decides; hollyspur.Balancer is the one in service.
@@ -202,16 +207,27 @@
 	r.id = strconv.FormatUint(l.nextID, 10)
 	l.requests[r.id] = r
 	l.metrics.outstanding.Add(1)
-	// The module answers by the deadline; should it ever say nothing, the caller still gets an
-	// answer in time.
+	l.awaitLastCall(r)
+	l.handle(hollyspur.Request{ID: r.id, Class: r.class, Deadline: r.deadline, Repeat: r.repeat,
+		Cost: r.cost, Long: r.rest != nil})
+}
+
+// awaitLastCall sees to it that, should the module ever say nothing, the caller still gets an answer in
+// time.
+func (l *loop) awaitLastCall(r *request) {
 	r.lastCall = l.after(r.last-l.clock.now(), func() {
 		if !r.finished.Load() {
 			log.Printf("request %s: no answer from the module by its deadline", r.id)
 			l.abandon(r)
 		}
 	})
-	l.handle(hollyspur.Request{ID: r.id, Class: r.class, Deadline: r.deadline, Repeat: r.repeat,
-		Cost: r.cost})
+}
+
+// startTime makes a request's time begin now.
+func (l *loop) startTime(r *request) {
+	own := min(ownDelay, r.left/4)
+	r.deadline = l.clock.now() + r.left - own
+	r.last = r.deadline + own/2
 }
 
 // abandon fails a request without the module, which is told that nothing is owed any more.
@@ -232,6 +248,7 @@
 // gone notes that a caller has closed its connection.
 func (l *loop) gone(r *request) {
 	if l.close(r) {
+		l.metrics.outstanding.Add(-1)
 		l.handle(hollyspur.ClientGone{ID: r.id})
 		l.forget(r)
 	}
@@ -241,6 +258,7 @@
 func (l *loop) finish(id string, a answer) {
 	r := l.requests[id]
 	if r != nil && l.close(r) {
+		l.metrics.outstanding.Add(-1)
 		r.answer <- a
 		l.forget(r)
 	}
@@ -249,11 +267,7 @@
 // close finishes a request; false if it was before.
 func (l *loop) close(r *request) bool {
 	r.lastCall.Stop()
-	first := r.finished.CompareAndSwap(false, true)
-	if first {
-		l.metrics.outstanding.Add(-1)
-	}
-	return first
+	return r.finished.CompareAndSwap(false, true)
 }
 
 // forget drops a request that is finished and has no attempt out.
@@ -282,35 +296,81 @@
 	r.attempts = append(r.attempts, at)
 	r.out++
 	s := l.servers[a.Server]
-	if r.finished.Load() || timeout <= 0 || s == nil || r.maxAttempts > 0 && at.n >= r.maxAttempts {
+	if r.finished.Load() || timeout <= 0 && r.rest == nil || s == nil || r.maxAttempts > 0 && at.n >= r.maxAttempts {
 		l.queue = append(l.queue, l.end(at, result{ending: hollyspur.Void}))
 		return
 	}
-	ctx, stop := context.WithTimeoutCause(ctx, timeout, errTimedOut)
-	out := r.forward.Clone(ctx)
-	if len(r.body) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(r.body))
+	out := call{request: r.forward.Clone(ctx), rest: r.rest, begin: func() bool { return !r.finished.Load() },
+		started: func(d *download) { l.post(func() { l.started(at, d) }) }}
+	if r.rest != nil {
+		// Its time begins with its last byte. How slow that may be is the caller's body's to say.
+		timeout = r.left
+		out.request.Body = io.NopCloser(io.MultiReader(bytes.NewReader(r.body), r.rest))
+		out.taken = func() { l.post(func() { l.taken(at) }) }
+		r.lastCall.Stop()
+	} else {
+		at.timer = time.AfterFunc(timeout, func() { cancel(errTimedOut) })
+		if len(r.body) > 0 {
+			out.request.Body = io.NopCloser(bytes.NewReader(r.body))
+		}
 	}
-	out.Header.Set("X-Time-Left", timeLeft(timeout))
+	out.request.Header.Set("X-Time-Left", timeLeft(timeout))
 	go func() {
-		res := l.upstream.attempt(ctx, s, out, func() bool { return !r.finished.Load() })
-		stop()
+		res := l.upstream.attempt(ctx, s, out)
 		l.post(func() { l.handle(l.end(at, res)) })
 	}()
 }
 
+// taken notes that the last byte of a long request was written: its time begins.
+func (l *loop) taken(at *attempt) {
+	r := at.req
+	at.timer = time.AfterFunc(r.left, func() { at.cancel(errTimedOut) })
+	if r.finished.Load() {
+		return
+	}
+	l.startTime(r)
+	at.timer.Reset(r.deadline - l.clock.now())
+	l.awaitLastCall(r)
+	l.handle(hollyspur.Taken{ID: r.id, Attempt: at.n, Deadline: r.deadline})
+}
+
+// started makes an answer that begins the final one of its request, unless there is one already.
+func (l *loop) started(at *attempt, d *download) {
+	if !l.close(at.req) {
+		at.cancel(errWithdrawn)
+		d.abandon()
+		d.done <- errAbandoned
+		return
+	}
+	at.begun = true
+	at.stop()
+	at.req.answer <- answer{status: http.StatusOK, contentType: d.contentType, stream: d}
+	l.handle(hollyspur.Started{ID: at.req.id, Attempt: at.n})
+}
+
+// stop ends an attempt's timer, if it has one.
+func (at *attempt) stop() {
+	if at.timer != nil {
+		at.timer.Stop()
+	}
+}
+
 // end notes that an attempt has ended and words it for the module. The first success is the
 // request's answer.
 func (l *loop) end(at *attempt, res result) hollyspur.Outcome {
 	r := at.req
+	at.stop()
 	at.cancel(nil)
 	r.out--
+	if at.begun {
+		l.metrics.outstanding.Add(-1)
+	}
 	if res.ending == hollyspur.Success {
 		l.finish(r.id, answer{status: http.StatusOK, body: res.body, contentType: res.contentType})
 	}
 	l.forget(r)
 	return hollyspur.Outcome{ID: r.id, Attempt: at.n, Server: at.server, Ending: res.ending,
-		Latency: l.clock.now() - at.sent, Ended: r.finished.Load()}
+		Latency: l.clock.now() - at.sent, Ended: r.finished.Load(), Spent: r.rest != nil && r.rest.spent.Load()}
 }
 
 // ---- Discovery ----
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,7 +47,7 @@
 		return nil, err
 	}
 	counts := &metrics{}
-	l := newLoop(cfg, m, newUpstream(cfg, 1, counts), newDiscovery(cfg.Discovery), counts)
+	l := newLoop(cfg, m, newUpstream(cfg, 1, counts, budgetFor(cfg)), newDiscovery(cfg.Discovery), counts)
 	n := &Node{loop: l, front: newFront(l), cfg: cfg, known: cfg.Known, linger: linger,
 		listener: newLimitListener(persistentListener{listener}, 1)}
 	n.setShare(1)
--- a/internal/node/share.go
+++ b/internal/node/share.go
@@ -150,3 +150,11 @@
 	c.leave()
 	return err
 }
+
+// CloseWrite ends sending alone, which lets a peer that still writes read its answer.
+func (c *limitedConn) CloseWrite() error {
+	if half, can := c.Conn.(interface{ CloseWrite() error }); can {
+		return half.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -18,12 +18,16 @@
 	"hollyspur/internal/wire"
 )
 
-// maxBody is the most that a body holds, either way.
-const maxBody = 64 << 10
-
-// maxAnswer is the most that is read of a server's answer, with its head, its chunks' framing and any
-// interim answers before it. net/http sets a client no limit, and one endless head would fill the memory.
-const maxAnswer = 1 << 20
+const (
+	// maxBody is the most of a body that is held, either way, and maxLong the most that it may be.
+	maxBody = 64 << 10
+	maxLong = 32 << 20
+	// maxAnswer is the most that is read of the head of a server's answer and any interim answers before
+	// it. net/http sets a client no limit, and one endless head would fill the memory.
+	maxAnswer = 1 << 20
+	// maxFramed is the most that is read of an answer's body with its framing: chunks may be of a byte each.
+	maxFramed = 8 * maxLong
+)
 
 // server is a listed server as the I/O sees it.
 type server struct {
@@ -38,18 +42,28 @@
 	errWithdrawn = errors.New("withdrawn")
 )
 
-// result is how an attempt ended; body and contentType belong to a Success.
+// result is how an attempt ended; body and contentType belong to a Success whose answer was short.
 type result struct {
 	ending      hollyspur.Ending
 	body        []byte
 	contentType string
 }
 
+// call is what an attempt sends and whom it tells of how it goes.
+type call struct {
+	request *http.Request   // with its body, as far as that is held
+	rest    *callerBody     // what follows of a long body; nil: nothing
+	begin   func() bool     // asked at the moment of writing; false: write nothing
+	taken   func()          // called when the last byte of a long request is written
+	started func(*download) // called when a long answer begins; whoever reads it says on its done how that went
+}
+
 // upstream makes attempts over connections of its own. http.Transport is no use here: it sends a
 // request again by itself when a reused connection breaks, which would be an attempt that nobody
 // counted, perhaps to a server that drains by then.
 type upstream struct {
 	metrics *metrics
+	budget  *budget
 
 	mu             sync.Mutex
 	idleFor        time.Duration // ours are closed after standing idle for so long
@@ -74,11 +88,12 @@
 	return &conn{Conn: c, r: bufio.NewReader(limit), limit: limit}
 }
 
-func newUpstream(cfg Config, most int, counts *metrics) *upstream {
+func newUpstream(cfg Config, most int, counts *metrics, room *budget) *upstream {
 	return &upstream{
 		idleFor:        usable(cfg.Conns.Idle),
 		connectTimeout: cfg.Conns.ConnectWithin,
 		metrics:        counts,
+		budget:         room,
 		idle:           map[*server][]*conn{},
 		most:           most,
 		trusted:        usable(cfg.Conns.Idle),
@@ -97,23 +112,20 @@
 	u.trusted = min(u.trusted, u.idleFor)
 }
 
-// attempt sends r to s once and waits for the answer until ctx ends. It writes nothing unless
+// attempt makes a call to s once and waits for the answer until ctx ends. It writes nothing unless
 // begin agrees at the moment of writing.
-func (u *upstream) attempt(ctx context.Context, s *server, r *http.Request, begin func() bool) result {
+func (u *upstream) attempt(ctx context.Context, s *server, out call) result {
+	r := out.request
 	if r.Host == "" { // HTTP/1.0 callers need not name one, servers want one
 		r.Host = s.addr
 	}
-	var message bytes.Buffer
-	if err := r.Write(&message); err != nil {
-		return result{ending: hollyspur.Void}
-	}
 	connect := u.get
-	if !repeatable(r) && u.distrustful() {
+	if (out.rest != nil || !repeatable(r)) && u.distrustful() {
 		// Servers drop idle connections, and a reset leaves open whether it ran.
 		connect = u.dial
 	}
 	c, err := connect(ctx, s)
-	if ctx.Err() != nil || err == nil && !begin() {
+	if ctx.Err() != nil || err == nil && !out.begin() {
 		// The dial took the attempt's time or its reason away.
 		if err == nil {
 			u.put(s, c)
@@ -128,8 +140,18 @@
 		u.close(c)
 		return result{ending: hollyspur.Unreachable}
 	}
+	if out.rest != nil && !out.rest.spent.CompareAndSwap(false, true) {
+		u.put(s, c) // not a byte of it is written: the caller's last byte could never follow
+		return result{ending: hollyspur.Void}
+	}
 	stop := context.AfterFunc(ctx, func() { c.Conn.Close() }) // all that stops an exchange
-	res, keep := u.exchange(ctx, c, r, message.Bytes())
+	var res result
+	var keep bool
+	if out.rest == nil {
+		res, keep = u.exchange(ctx, c, out)
+	} else {
+		res, keep = u.exchangeLong(ctx, c, out)
+	}
 	u.learn(c, res)
 	if stop() && keep {
 		u.put(s, c)
@@ -141,8 +163,12 @@
 
 // exchange writes one request and reads its answer. keep tells whether the connection can carry
 // another.
-func (u *upstream) exchange(ctx context.Context, c *conn, r *http.Request, message []byte) (res result, keep bool) {
-	if _, err := c.Write(message); err != nil {
+func (u *upstream) exchange(ctx context.Context, c *conn, out call) (res result, keep bool) {
+	var message bytes.Buffer
+	if err := out.request.Write(&message); err != nil {
+		return result{ending: hollyspur.Void}, false
+	}
+	if _, err := c.Write(message.Bytes()); err != nil {
 		// Not all of it was written, so it can't have run.
 		if ctx.Err() != nil {
 			return result{ending: hollyspur.Void}, false
@@ -151,34 +177,153 @@
 	}
 	u.metrics.forwards.Add(1)
 	c.limit.N = maxAnswer
-	resp, err := readResponse(c.r, r)
+	resp, err := readResponse(c.r, out.request)
 	if err != nil {
 		return result{ending: endingOf(ctx)}, false
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	resp.Body.Close()
-	// An answer framed by the connection's end can't be told from one that was cut short.
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	whole := err == nil && len(body) <= maxBody && framed
+	return u.receive(ctx, c, resp, out)
+}
+
+// receive reads the body of an answer.
+func (u *upstream) receive(ctx context.Context, c *conn, resp *http.Response, out call) (res result, keep bool) {
+	defer resp.Body.Close()
+	c.limit.N = maxFramed
+	whole := false
 	switch {
-	case resp.StatusCode == http.StatusOK && whole:
-		res = result{hollyspur.Success, body, resp.Header.Get("Content-Type")}
 	case resp.StatusCode == http.StatusOK:
-		res.ending = endingOf(ctx)
+		if res, whole = u.receiveServed(ctx, c, resp, out); !whole {
+			return res, false
+		}
 	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Unprocessed") == "1":
 		res.ending = hollyspur.Overloaded
+		whole = discard(resp.Body)
 	default:
 		res.ending = hollyspur.Failure
+		whole = discard(resp.Body) && resp.StatusCode != http.StatusSwitchingProtocols
 	}
 	return res, whole && !resp.Close && c.r.Buffered() == 0
 }
 
-// readResponse skips interim answers.
+// discard reads a body that nobody wants; false: it was not read to its end.
+func discard(body io.Reader) bool {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxBody+1))
+	return err == nil && n <= maxBody
+}
+
+// receiveServed reads the body of a 200. whole: to its end, and a long one was passed on to its end.
+func (u *upstream) receiveServed(ctx context.Context, c *conn, resp *http.Response, out call) (res result, whole bool) {
+	release, err := hold(ctx, u.budget.answers, resp.ContentLength)
+	if err != nil {
+		return result{ending: endingOf(ctx)}, false
+	}
+	defer release()
+	d := newDownload(resp.Header.Get("Content-Type"), resp.ContentLength, func() { c.Conn.Close() })
+	begin := func() {
+		if d.begin() {
+			out.started(d)
+		}
+	}
+	switch {
+	case d.length > maxBody:
+		begin()
+	case d.length < 0: // it may be long, and then its first bytes are wanted
+		defer time.AfterFunc(holdBack, begin).Stop()
+	}
+	err = d.fill(stallReader{c.Conn, resp.Body}, begin)
+	begun, abandoned := d.state()
+	if begun {
+		err = <-d.done
+		_, abandoned = d.state()
+	}
+	c.Conn.SetReadDeadline(time.Time{})
+	switch {
+	case abandoned:
+		return result{ending: hollyspur.Withdrawn}, false
+	case err != nil:
+		return result{ending: endingOf(ctx)}, false
+	case begun:
+		return result{ending: hollyspur.Success}, true
+	}
+	return result{hollyspur.Success, d.held, d.contentType}, true
+}
+
+// stallReader reads a server's body for as long as the server does not stand still.
+type stallReader struct {
+	conn net.Conn
+	r    io.Reader
+}
+
+func (s stallReader) Read(p []byte) (int, error) {
+	if err := s.conn.SetReadDeadline(time.Now().Add(serverStall)); err != nil {
+		return 0, err
+	}
+	return s.r.Read(p)
+}
+
+// stallWriter writes to a server for as long as the server does not stand still.
+type stallWriter struct{ net.Conn }
+
+func (s stallWriter) Write(p []byte) (int, error) {
+	if err := s.Conn.SetWriteDeadline(time.Now().Add(serverStall)); err != nil {
+		return 0, err
+	}
+	return s.Conn.Write(p)
+}
+
+// earlyAnswer is how long a server that takes no more of a request may take to say why.
+const earlyAnswer = time.Second
+
+// exchangeLong writes a long request as its caller sends it, and reads its answer. A server may answer
+// before it has read all.
+func (u *upstream) exchangeLong(ctx context.Context, c *conn, out call) (res result, keep bool) {
+	wrote := make(chan error, 1)
+	go func() {
+		err := out.request.Write(stallWriter{c.Conn})
+		if err == nil {
+			u.metrics.forwards.Add(1)
+			out.taken()
+		} else if out.rest.broken() {
+			c.Conn.Close() // no answer can come
+		} else {
+			c.Conn.SetReadDeadline(time.Now().Add(earlyAnswer))
+		}
+		wrote <- err
+	}()
+	c.limit.N = maxAnswer
+	resp, err := readResponse(c.r, out.request)
+	if !out.rest.whole.Load() || err != nil {
+		c.Conn.Close() // ends the writing, should it still go on
+	}
+	if !out.rest.whole.Load() {
+		return result{ending: unsentEnding(ctx, resp, out)}, false
+	}
+	if <-wrote != nil {
+		return result{ending: unsentEnding(ctx, resp, out)}, false
+	}
+	if err != nil {
+		return result{ending: endingOf(ctx)}, false
+	}
+	c.Conn.SetWriteDeadline(time.Time{})
+	return u.receive(ctx, c, resp, out)
+}
+
+// unsentEnding tells how an attempt ended whose last byte was not written, so that it can't have run.
+func unsentEnding(ctx context.Context, resp *http.Response, out call) hollyspur.Ending {
+	switch {
+	case ctx.Err() != nil || out.rest.broken():
+		return hollyspur.Void // not the server's doing
+	case resp != nil:
+		return hollyspur.Overloaded // it did not want all of it
+	}
+	return hollyspur.Unreachable
+}
+
+// readResponse skips interim answers. Nobody asked to switch protocols, so 101 is final and means nothing.
 func readResponse(br *bufio.Reader, r *http.Request) (*http.Response, error) {
 	for {
 		resp, err := http.ReadResponse(br, r)
-		if err != nil || resp.StatusCode >= 200 {
+		if err != nil || resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
 			return resp, err
 		}
 	}
--- a/policy.go
+++ b/policy.go
@@ -56,6 +56,8 @@
 		b.accept(e)
 	case Outcome:
 		b.takeOutcome(e)
+	case Taken:
+		b.takeTaken(e)
 	case Started:
 		b.takeStarted(e)
 	case ClientGone:
@@ -218,7 +220,7 @@
 		c = b.order[len(b.order)-1] // unknown: unsafe
 	}
 	r := &request{id: e.ID, class: c, came: b.now, arrived: b.now, deadline: e.Deadline, repeat: e.Repeat,
-		cost: float64(e.Cost), most: max(1, b.set.MaxAttempts)}
+		cost: float64(e.Cost), most: max(1, b.set.MaxAttempts), long: e.Long}
 	b.requests[e.ID] = r
 	b.backdate(r)
 	for _, k := range b.order {
@@ -263,12 +265,38 @@
 	r.out++
 	b.unhold(r)
 	s.calls++
-	s.open = append(s.open, a)
-	b.inFlight++
+	if !r.long { // the server has nothing to do before the last byte
+		b.count(a)
+	}
 	b.owe(r.class, r.class.mean)
 	b.do(Send{ID: r.id, Server: s.ID, Timeout: max(r.deadline-b.now, b.set.Tick)})
 }
 
+// count counts a call as one that the tiers below work on.
+func (b *Balancer) count(a *attempt) {
+	a.srv.open = append(a.srv.open, a)
+	b.inFlight++
+}
+
+// settle learns from how a call went, and no longer counts it.
+func (b *Balancer) settle(a *attempt, e Outcome) {
+	for i, o := range a.srv.open {
+		if o == a {
+			// A hung server's waits tell nothing of how crowded the others are.
+			if !b.silent(a.srv) {
+				b.steer(a.req, e)
+			}
+			a.srv.open = append(a.srv.open[:i], a.srv.open[i+1:]...)
+			b.inFlight--
+			break
+		}
+	}
+	b.judge(a, e)
+	if e.Ending == Success && !a.req.answered && b.now <= a.req.arrived+a.req.class.Aim {
+		a.req.class.serve++
+	}
+}
+
 // overlong is the wait for an answer that most of a class's answers stay well under.
 func (b *Balancer) overlong(c *class) time.Duration {
 	return time.Duration(c.mean + tailSpread*c.dev)
@@ -352,17 +380,38 @@
 	}
 }
 
+// takeTaken starts the time of a long request.
+func (b *Balancer) takeTaken(e Taken) {
+	if a := b.attempt(e.ID, e.Attempt); a != nil && a.req.long {
+		a.req.arrived += e.Deadline - a.req.deadline
+		a.req.long, a.req.deadline, a.sent = false, e.Deadline, b.now
+		b.count(a)
+	}
+}
+
+// takeStarted settles a call by its first bytes: how long the rest takes is its reader's affair.
 func (b *Balancer) takeStarted(e Started) {
-	r := b.requests[e.ID]
-	if r == nil {
+	a := b.attempt(e.ID, e.Attempt)
+	if a == nil || a.begun {
 		return
 	}
-	r.streaming = true
-	for _, a := range r.attempts {
-		if a.n != e.Attempt {
-			b.cancel(a)
+	b.settle(a, Outcome{Attempt: a.n, Ending: Success})
+	a.begun, a.req.streaming = true, true
+	for _, o := range a.req.attempts {
+		if o != a {
+			b.cancel(o)
 		}
 	}
+	b.release()
+}
+
+// attempt finds an attempt that has not ended.
+func (b *Balancer) attempt(id string, n int) *attempt {
+	r := b.requests[id]
+	if r == nil || n < 0 || n >= len(r.attempts) || r.attempts[n].ended {
+		return nil
+	}
+	return r.attempts[n]
 }
 
 func (b *Balancer) cancel(a *attempt) {
@@ -372,35 +421,28 @@
 }
 
 func (b *Balancer) takeOutcome(e Outcome) {
-	r := b.requests[e.ID]
-	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || r.attempts[e.Attempt].ended {
+	a := b.attempt(e.ID, e.Attempt)
+	if a == nil {
 		return
 	}
-	a := r.attempts[e.Attempt]
+	r := a.req
 	a.ended = true
 	a.unsent = e.Ending == Overloaded || e.Ending == Unreachable || e.Ending == Void
+	if e.Spent {
+		r.most = 0
+	}
 	r.out--
-	b.inFlight--
 	a.srv.calls--
-	for i, o := range a.srv.open {
-		if o == a {
-			// A hung server's waits tell nothing of how crowded the others are.
-			if !b.silent(a.srv) {
-				b.steer(r, e)
-			}
-			a.srv.open = append(a.srv.open[:i], a.srv.open[i+1:]...)
-			break
-		}
+	if !a.begun {
+		b.settle(a, e)
+	} else if e.Ending == Failure || e.Ending == Broken {
+		b.judge(a, e)
 	}
-	b.judge(a, e)
 	if !a.srv.listed && a.srv.calls == 0 && b.servers[a.srv.ID] == a.srv {
 		delete(b.servers, a.srv.ID)
 	}
 	switch {
 	case e.Ended:
-		if e.Ending == Success && !r.answered && b.now <= r.arrived+r.class.Aim {
-			r.class.serve++
-		}
 		b.close(r)
 	case !r.answered && r.out == 0:
 		b.further(r)
@@ -581,18 +623,6 @@
 // ailing says that a server is out for its health, whatever the request.
 func (b *Balancer) ailing(s *server) bool { return b.now < s.until || b.silent(s) }
 
-// Avoided returns how many ready servers are kept out for their health at the clock time now.
-func (b *Balancer) Avoided(now time.Duration) int {
-	b.now = max(b.now, now)
-	n := 0
-	for _, s := range b.ready {
-		if b.ailing(s) {
-			n++
-		}
-	}
-	return min(n, b.mostRuledOut())
-}
-
 // silent says that an old call to the server is unanswered while a younger one was answered
 // elsewhere: a machine gone quiet, hung or pausing shows nothing else until time-outs end.
 func (b *Balancer) silent(s *server) bool {
--- a/policy_test.go
+++ b/policy_test.go
@@ -856,3 +856,61 @@
 		t.Error("settings that make no sense were taken")
 	}
 }
+
+// A long answer is judged by its first bytes, and no longer holds the window; what breaks later counts
+// against the server, what its reader breaks off does not.
+func TestLongAnswerIsJudgedByItsFirstBytes(t *testing.T) {
+	for ending, bad := range map[Ending]int{Success: 0, Withdrawn: 0, Broken: 1} {
+		b := newBalancer(t, nil)
+		b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+		s := sends(b.Handle(0, Request{ID: "a", Class: "get", Deadline: 1500 * msec}))[0]
+		srv := b.servers[s.Server]
+		b.Handle(100*msec, Started{ID: "a"})
+		if b.inFlight != 0 || srv.calls != 1 || srv.lastOK != 100*msec || b.classes["get"].serve != 1 {
+			t.Errorf("begun: %d in flight, %d calls, last good at %v", b.inFlight, srv.calls, srv.lastOK)
+		}
+		mean := b.classes["get"].mean
+		acts := b.Handle(time.Hour, Outcome{ID: "a", Server: s.Server, Ending: ending, Ended: true})
+		if len(acts) > 0 || srv.calls != 0 || srv.streak != bad || b.inFlight != 0 || len(b.requests) > 0 {
+			t.Errorf("ending %d: %v, %d calls, streak %d", ending, acts, srv.calls, srv.streak)
+		}
+		if b.classes["get"].mean != mean {
+			t.Error("the time its reader took passes for the server's")
+		}
+	}
+}
+
+// The time of a long request begins when it is taken. Until then its server has nothing to answer and the
+// window nothing to hold; what cannot be sent again is not.
+func TestLongRequestCountsFromItsLastByte(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+	s := sends(b.Handle(0, Request{ID: "a", Class: "get", Deadline: 1500 * msec, Long: true}))[0]
+	srv := b.servers[s.Server]
+	if b.inFlight != 0 || srv.calls != 1 {
+		t.Errorf("before its last byte: %d in flight, %d calls", b.inFlight, srv.calls)
+	}
+	b.lastOK = 5000 * msec
+	b.now = 5000 * msec
+	if b.silent(srv) {
+		t.Error("a server is silent before it has the request")
+	}
+	b.Handle(5000*msec, Taken{ID: "a", Deadline: 6500 * msec})
+	if r := b.requests["a"]; r.deadline != 6500*msec || r.arrived != 5000*msec || b.inFlight != 1 {
+		t.Errorf("taken: deadline %v, arrived %v, %d in flight", r.deadline, r.arrived, b.inFlight)
+	}
+	mean := b.classes["get"].mean
+	b.Handle(5100*msec, Outcome{ID: "a", Server: s.Server, Ending: Success, Ended: true})
+	if m := b.classes["get"].mean; m >= mean || b.inFlight != 0 {
+		t.Errorf("the time of the body counts as the server's: mean %v after %v", m, mean)
+	}
+
+	b.Handle(6000*msec, Request{ID: "b", Class: "get", Deadline: 7500 * msec, Long: true})
+	acts := b.Handle(6010*msec, Outcome{ID: "b", Ending: Unreachable, Spent: true})
+	if len(acts) != 1 {
+		t.Fatalf("a spent body: %v", acts)
+	}
+	if _, refused := acts[0].(Refuse); !refused {
+		t.Errorf("a spent body that never ran: %v", acts[0])
+	}
+}
--- a/state.go
+++ b/state.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// What a Balancer remembers, how it begins and what of it lasts through new settings; policy.go fills
-// and reads it.
+// What a Balancer remembers, how it begins, what of it lasts through new settings and what operators see;
+// policy.go fills and reads it.
 
 // Balancer decides for one node. See the package comment for its contract.
 type Balancer struct {
@@ -134,6 +134,7 @@
 	held      bool
 	answered  bool
 	streaming bool
+	long      bool // its last byte has not gone out yet
 	wake      time.Duration
 }
 
@@ -145,6 +146,19 @@
 	sent   time.Duration
 	zone   string
 	cell   int
+	begun  bool // its answer has
 	ended  bool
 	unsent bool // proven never to have run
 }
+
+// Avoided returns how many ready servers are kept out for their health at the clock time now.
+func (b *Balancer) Avoided(now time.Duration) int {
+	b.now = max(b.now, now)
+	n := 0
+	for _, s := range b.ready {
+		if b.ailing(s) {
+			n++
+		}
+	}
+	return min(n, b.mostRuledOut())
+}
