Ask again at once for a list that was cut short, and notice one that stands still

A complete list without `targets` would have emptied the held one (parseList).

At fault: watch, which took what stood before the connection's end for a line, and subscribe's fixed rest of 1 s.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -44,6 +44,10 @@
 	if err := json.Unmarshal(text, &l); err != nil {
 		return List{}, err
 	}
+	if l.Targets == nil {
+		// In a complete list, what is not named is gone.
+		return List{}, errors.New("no targets")
+	}
 	for i, t := range l.Targets {
 		_, known := states[t.State]
 		_, _, err := net.SplitHostPort(t.Endpoint)
@@ -71,6 +75,10 @@
 // told after 6 s; the rest of these is for asking anew.
 const silence = 4500 * time.Millisecond
 
+// lineStall is how long a line that has begun may stand still: discovery writes a line in one go, and one
+// that stops short would hide news until the watch counts as silent.
+const lineStall = time.Second
+
 const maxListBytes = 16 << 20
 
 // discovery opens watches. It keeps no connection between them.
@@ -78,14 +86,18 @@
 	addr    string
 	client  *http.Client
 	silence time.Duration
+	stall   time.Duration
 }
 
 func newDiscovery(addr string) *discovery {
-	return &discovery{addr: addr, silence: silence,
+	return &discovery{addr: addr, silence: silence, stall: lineStall,
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 }
 
-var errSilent = errors.New("silent for too long")
+var (
+	errSilent   = errors.New("silent for too long")
+	errCutShort = errors.New("a line was cut short")
+)
 
 // watch follows the list from revision since on and calls news with each message in order. It
 // returns the reason for the watch's end, which is never nil.
@@ -110,6 +122,21 @@
 	}
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, maxListBytes)
+	cutShort := time.AfterFunc(time.Hour, func() { cancel(errCutShort) })
+	defer cutShort.Stop()
+	lines.Split(func(data []byte, atEOF bool) (int, []byte, error) {
+		end := bytes.IndexByte(data, '\n')
+		switch {
+		case end >= 0:
+			cutShort.Stop()
+			return end + 1, data[:end], nil
+		case atEOF && len(data) > 0:
+			return 0, nil, errCutShort
+		case len(data) > 0:
+			cutShort.Reset(d.stall)
+		}
+		return 0, nil, nil
+	})
 	for lines.Scan() {
 		quiet.Reset(d.silence)
 		line := bytes.TrimSpace(lines.Bytes())
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -260,3 +260,74 @@
 		t.Error("a full list that names only a")
 	}
 }
+
+// A list that stops short changes nothing and is asked for again, soon, from the revision that is held.
+func TestListCutShort(t *testing.T) {
+	t.Parallel()
+	whole := message(9, true, entry("a", "SERVING"), entry("b", "SERVING"))
+	for name, cut := range map[string]func(w http.ResponseWriter, r *http.Request){
+		"and ends": func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, whole[:len(whole)/2]) },
+		"and breaks": func(w http.ResponseWriter, r *http.Request) {
+			fmt.Fprint(w, whole[:len(whole)/2])
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		},
+		"by its end": func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, whole) },
+		"and stands still": func(w http.ResponseWriter, r *http.Request) {
+			fmt.Fprint(w, whole[:len(whole)/2])
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		},
+		"by its targets": func(w http.ResponseWriter, r *http.Request) { fmt.Fprintln(w, `{"rev":9,"all":true}`) },
+	} {
+		asked := make(chan string, 100)
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked <- r.URL.Query().Get("since")
+			if len(asked) == 1 {
+				cut(w, r)
+				return
+			}
+			fmt.Fprintln(w, whole)
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}))
+		t.Cleanup(s.CloseClientConnections)
+		cfg := testConfig(strings.TrimPrefix(s.URL, "http://"), serving("old", "127.0.0.1:1"))
+		cfg.Settings.AskDiscovery = false
+		lists := make(chan hollyspur.ServerList, 10)
+		startNode(t, cfg, moduleFunc(func(e hollyspur.Event) []hollyspur.Action {
+			if l, is := e.(hollyspur.ServerList); is {
+				lists <- l
+			}
+			return nil
+		}))
+		if l := wait(t, lists); !l.Cached {
+			t.Fatalf("%s: %+v", name, l)
+		}
+		if l := wait(t, lists); !l.Full || len(l.Servers) != 2 {
+			t.Errorf("%s: the first news is %+v", name, l)
+		}
+		if first, second := wait(t, asked), wait(t, asked); first != "7" || second != "7" {
+			t.Errorf("%s: asked since %s, then %s", name, first, second)
+		}
+	}
+}
+
+// The rest between watches doubles while they break at once, and is short again after one that lasted.
+func TestRestBetweenWatches(t *testing.T) {
+	l := &loop{}
+	for i, want := range []time.Duration{rewatchFirst, 2 * rewatchFirst, 4 * rewatchFirst} {
+		if got := l.restAfter(0); got != want {
+			t.Errorf("rest %d is %v, want %v", i, got, want)
+		}
+	}
+	for range 10 {
+		l.restAfter(0)
+	}
+	if got := l.restAfter(0); got != rewatchMost {
+		t.Errorf("at last it is %v", got)
+	}
+	if got := l.restAfter(time.Minute); got != rewatchFirst {
+		t.Errorf("after a watch that lasted it is %v", got)
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -90,7 +90,8 @@
 	rev       int64 // of the list we hold
 	nextID    uint64
 	stopWatch context.CancelFunc
-	watching  bool // a watch was opened; a broken one is opened again
+	watching  bool          // a watch was opened; a broken one is opened again
+	rest      time.Duration // before the last watch that was opened again
 }
 
 func newLoop(cfg Config, m module, up *upstream, disc *discovery, counts *metrics) *loop {
@@ -418,8 +419,21 @@
 	}
 }
 
-// rewatch is how long a broken watch rests where the list comes unasked; elsewhere the module says.
-const rewatch = time.Second
+// Where the list comes unasked, a watch that breaks is opened again after a rest: a short one, doubled up to
+// rewatchMost as long as watches break at once. Elsewhere the module says.
+const (
+	rewatchFirst = 50 * time.Millisecond
+	rewatchMost  = time.Second
+)
+
+// restAfter is the rest after a watch that lasted for so long.
+func (l *loop) restAfter(lasted time.Duration) time.Duration {
+	if lasted > rewatchMost {
+		l.rest = 0
+	}
+	l.rest = min(max(rewatchFirst, 2*l.rest), rewatchMost)
+	return l.rest
+}
 
 // moveDiscovery follows the list at another address from now on, if it was followed at all. The old
 // address closes its connections soon, and a watch that waits for that falls behind.
@@ -435,7 +449,7 @@
 	l.stopWatch()
 	ctx, cancel := context.WithCancel(context.Background())
 	l.stopWatch, l.watching = cancel, true
-	since, disc := l.rev, l.discovery
+	since, disc, begun := l.rev, l.discovery, l.clock.now()
 	go func() {
 		err := disc.watch(ctx, since, func(list List) {
 			l.post(func() {
@@ -449,7 +463,11 @@
 				log.Printf("watch: %v", err)
 				l.handle(hollyspur.ListFailed{})
 				if l.pushed {
-					l.after(rewatch, l.subscribe)
+					l.after(l.restAfter(l.clock.now()-begun), func() {
+						if ctx.Err() == nil { // else another was opened meanwhile
+							l.subscribe()
+						}
+					})
 				}
 			}
 		})
