Let health keep one server out of a short list, where a fifth rounds to none

Checked: a probe that logged how each attempt ended: 343 of 344 errors at one gateway server of four, s-, which answered 190 others; it was met for as long as it failed.

At fault: mostRuledOut, int(0.2 * 4) = 0: the server was ejected again and again, and drawn all the same.

--- a/policy.go
+++ b/policy.go
@@ -533,9 +533,11 @@
 	return out
 }
 
-// mostRuledOut is the most servers that health may keep out now.
+// mostRuledOut is the most servers that health may keep out now: of a short list one, if that leaves a
+// choice and less than half is shed, as a share rounded down keeps a server that fails at once in for good.
 func (b *Balancer) mostRuledOut() int {
-	return int(mostOut * (1 - b.shed) * float64(len(b.ready)))
+	least := math.Round((1 - b.shed) * float64(min(1, len(b.ready)/3)))
+	return int(max(least, mostOut*(1-b.shed)*float64(len(b.ready))))
 }
 
 // narrow applies everything but the fallbacks. Apart it gives the idle cold servers: a request's first
--- a/policy_test.go
+++ b/policy_test.go
@@ -914,3 +914,22 @@
 		t.Errorf("a spent body that never ran: %v", acts[0])
 	}
 }
+
+// A short list too can spare a server that fails at once; a list of two, or a node in overload, can not.
+func TestOneOfAShortListIsRuledOut(t *testing.T) {
+	for _, c := range []struct {
+		servers int
+		shed    float64
+		want    int
+	}{{4, 0, 1}, {3, 0.4, 1}, {2, 0, 0}, {1, 0, 0}, {4, 0.6, 0}, {10, 0, 2}, {9, 0, 1}} {
+		b := newBalancer(t, nil)
+		b.Handle(0, ServerList{Full: true, Servers: servers(c.servers)})
+		b.shed = c.shed
+		for _, s := range b.ready {
+			b.eject(s, b.classes["get"])
+		}
+		if n := len(b.ruledOut(&request{class: b.classes["get"]})); n != c.want {
+			t.Errorf("%d of %d servers are ruled out with %v shed, want %d", n, c.servers, c.shed, c.want)
+		}
+	}
+}
