Bound what is read of unwanted bodies, and count a body's length without MaxBytesReader

Found by reading: MaxBytesReader sets the answer's headers when a body is too long, from the goroutine that passes it on, while the front may write them; a caller that failed amid a long body could get a close in place of its error, as net/http ends the request's context first; a first body after a late head had no time at all.

Changed: ReadTimeout is back and callerBody, which sets its own deadlines, lifts it; callerBody counts; the front waits for the body's error; an answer cut off is reset only where the close would look like its end; drain-off cannot undo the drain of a process that stops.

--- a/internal/node/caller.go
+++ b/internal/node/caller.go
@@ -32,7 +32,7 @@
 	if c.requests.Add(1) > 1 {
 		return bodyStall
 	}
-	return min(bodyStall, max(0, firstBody-time.Since(c.since)))
+	return min(bodyStall, max(leastStall, firstBody-time.Since(c.since)))
 }
 
 // reset makes the connection's close a reset, which cannot pass for the end of an answer.
--- a/internal/node/callerbody.go
+++ b/internal/node/callerbody.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,8 @@
 	// firstBody is by when, from connecting, the first bytes of a connection's first body are there. A peer
 	// that sends none is owed an error or a close within 3 s.
 	firstBody = 2800 * time.Millisecond
+	// leastStall is what a body may stand still at first, however late its head was.
+	leastStall = 300 * time.Millisecond
 )
 
 // callerBody reads a request's body for as long as the caller keeps up its pace. Only the time spent
@@ -31,6 +34,7 @@
 
 	mu    sync.Mutex
 	r     io.Reader
+	total int64
 	spare time.Duration // how much longer the caller may let us wait
 	err   error         // why it can't be read
 }
@@ -55,7 +59,9 @@
 	n, err := b.r.Read(p)
 	earned := time.Duration(n) * time.Second / bodyPace
 	b.spare = min(bodyAhead, b.spare-time.Since(asked)+earned)
-	switch {
+	switch b.total += int64(n); {
+	case b.total > maxLong:
+		return n, b.fail(&http.MaxBytesError{Limit: maxLong})
 	case err == io.EOF:
 		b.whole.Store(true)
 		// Run out once the request is in, a deadline would pass for the caller's going away.
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -24,7 +24,8 @@
 const (
 	// requestTimeout is how long a request's head may take to come in, from connecting or, for a later one,
 	// from its first bytes on. A peer that sends something else, or nothing, is owed an error or a close
-	// within 3 s of connecting, and holds a caller's place until then. A body's pace is callerBody's.
+	// within 3 s of connecting, and holds a caller's place until then. It bounds what net/http reads by itself
+	// of a body that is not wanted, too; the pace of one that is wanted is callerBody's.
 	requestTimeout = 2500 * time.Millisecond
 	idleTimeout    = 2 * time.Minute
 	maxHeader      = 16 << 10
@@ -48,7 +49,7 @@
 }
 
 func (f *front) server() *http.Server {
-	return &http.Server{Handler: f, ReadHeaderTimeout: requestTimeout, IdleTimeout: idleTimeout,
+	return &http.Server{Handler: f, ReadTimeout: requestTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader, ConnContext: withCaller,
 		ConnState: func(c net.Conn, s http.ConnState) {
 			f.callers.note(c, s)
@@ -94,8 +95,10 @@
 		reject(w, r.rest.err)
 	case <-hr.Context().Done():
 		f.loop.post(func() { f.loop.gone(r) })
-		if r.rest != nil && r.rest.broken() {
-			reject(w, r.rest.err) // the context ends with it
+		if r.rest != nil && !r.rest.whole.Load() {
+			// It is the body that failed: net/http ends the context first.
+			<-r.rest.failed
+			reject(w, r.rest.err)
 			return
 		}
 		// Returning would answer 200 with nothing in it, should the caller still read.
@@ -128,8 +131,9 @@
 	a.stream.done <- err
 	f.metrics.answered(r.class, a.status, err != nil)
 	if err != nil {
-		// What is broken off must not look whole.
-		callerOf(hr).reset()
+		if a.stream.length < 0 && !hr.ProtoAtLeast(1, 1) {
+			callerOf(hr).reset() // the close alone would be the answer's end
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -197,16 +201,18 @@
 // readBody takes a request's body in, as far as it is held. release gives its room back.
 func (f *front) readBody(w http.ResponseWriter, hr *http.Request, r *request) (release func(), err error) {
 	spare := callerOf(hr).bodySpare()
+	control := http.NewResponseController(w)
 	if hr.ContentLength == 0 {
-		return func() {}, nil
+		// requestTimeout is lifted: run out once the request is in, it would pass for the caller's going
+		// away, and the request would be lost.
+		return func() {}, control.SetReadDeadline(time.Time{})
 	}
 	waiting, cancel := context.WithTimeout(hr.Context(), requestTimeout)
 	defer cancel()
 	if release, err = hold(waiting, f.loop.upstream.budget.requests, hr.ContentLength); err != nil {
 		return nil, fmt.Errorf("no room for the body: %w", err)
 	}
-	control := http.NewResponseController(w)
-	body := newCallerBody(http.MaxBytesReader(w, hr.Body, maxLong), spare, control.SetReadDeadline)
+	body := newCallerBody(hr.Body, spare, control.SetReadDeadline)
 	held := bytes.NewBuffer(make([]byte, 0, min(max(hr.ContentLength, 0), maxBody)+bytes.MinRead))
 	if _, err := held.ReadFrom(io.LimitReader(body, maxBody+1)); err != nil {
 		release()
--- a/internal/node/long_test.go
+++ b/internal/node/long_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -19,11 +20,11 @@
 
 // text is n bytes in which every piece can be told from another.
 func text(n int) string {
-	var b strings.Builder
-	for i := 0; b.Len() < n; i++ {
-		fmt.Fprintf(&b, "%x,", i)
+	b := make([]byte, 0, n+8)
+	for i := int64(0); len(b) < n; i++ {
+		b = append(strconv.AppendInt(b, i, 16), ',')
 	}
-	return b.String()[:n]
+	return string(b[:n])
 }
 
 func head(method, path, more string) string {
@@ -247,6 +248,7 @@
 		io.WriteString(c, "HTTP/1.1 503 E\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 		io.Copy(io.Discard, r)
 	})
+	body := text(4 << 20)
 	for name, c := range map[string]struct {
 		first  string
 		status int
@@ -254,7 +256,6 @@
 		n := startNode(t, testConfig("127.0.0.1:1", serving("first", c.first), serving("second", good)),
 			firstThenSecond())
 		conn := dial(t, n.Addr().String())
-		body := text(4 << 20)
 		var wrote sync.WaitGroup
 		wrote.Go(func() {
 			io.WriteString(conn, head("POST", "/order/1", fmt.Sprintf("Content-Length: %d\r\n", len(body)))+body)
@@ -491,3 +492,61 @@
 		t.Error(err)
 	}
 }
+
+// Whoever is sent away keeps no place by a body that never comes.
+func TestUnreadBodyHoldsNoPlace(t *testing.T) {
+	t.Parallel()
+	n := startNode(t, testConfig("127.0.0.1:1"), nil)
+	for request, status := range map[string]int{
+		head("POST", "/nothing/1", "Content-Length: 1000\r\n"):            404,
+		head("POST", "/nothing/1", "Transfer-Encoding: chunked\r\n"):      404,
+		head("PUT", "/order/1", "Content-Length: 1000\r\n"):               400,
+		head("POST", "/order/1", "Content-Length: 99999999999\r\n"):       413,
+		head("GET", "/health/ready", "Content-Length: 1000\r\n"):          200,
+		head("POST", "/order/1", "Expect: x\r\nContent-Length: 1000\r\n"): 417,
+	} {
+		t.Run(strings.Fields(request)[1]+strconv.Itoa(status), func(t *testing.T) {
+			t.Parallel()
+			conn := dial(t, n.Addr().String())
+			io.WriteString(conn, request)
+			r := bufio.NewReader(conn)
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil || resp.StatusCode != status {
+				t.Fatalf("%+v, %v", resp, err)
+			}
+			if _, err := io.Copy(io.Discard, r); errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Error("the connection stays")
+			}
+		})
+	}
+}
+
+// Requests that follow each other without waiting are answered in their order, bodies among them.
+func TestPipelined(t *testing.T) {
+	t.Parallel()
+	addr := listen(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			n, _ := io.Copy(io.Discard, req.Body)
+			answer := fmt.Sprintf("%s %d", req.RequestURI, n)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer), answer)
+		}
+	})
+	n := startNode(t, testConfig("127.0.0.1:1", serving("s", addr)), nil)
+	conn := dial(t, n.Addr().String())
+	go io.WriteString(conn, head("GET", "/read/1", "")+head("POST", "/order/2", "Content-Length: 5\r\n")+"12345"+
+		head("POST", "/order/3", "Content-Length: 100000\r\n")+text(100000)+head("GET", "/read/4", ""))
+	r := bufio.NewReader(conn)
+	for _, want := range []string{"/read/1 0", "/order/2 5", "/order/3 100000", "/read/4 0"} {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("%s: %v", want, err)
+		}
+		if b, err := io.ReadAll(resp.Body); string(b) != want {
+			t.Errorf("%q, %v, want %q", b, err, want)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	patience atomic.Int64  // how long callers may wait for what a stopping node has taken
 	shape    any           // of the configuration in force; see Config
 	serving  atomic.Bool   // callers are served
+	stopping atomic.Bool   // and will not be much longer
 }
 
 // reserved descriptors are for the listener, the watch, the log and the runtime.
@@ -103,9 +104,15 @@
 			}
 			return "ok"
 		},
-		"vars":      func() string { return n.loop.metrics.text() + "\neof" },
-		"drain-on":  func() string { n.front.drain.on(); return "ok" },
-		"drain-off": func() string { n.front.drain.off(); return "ok" },
+		"vars":     func() string { return n.loop.metrics.text() + "\neof" },
+		"drain-on": func() string { n.front.drain.on(); return "ok" },
+		"drain-off": func() string {
+			if n.stopping.Load() {
+				return "fail the process is stopping"
+			}
+			n.front.drain.off()
+			return "ok"
+		},
 	}
 }
 
@@ -154,6 +161,7 @@
 	}
 
 	n.serving.Store(false)
+	n.stopping.Store(true)
 	cutoff := time.Now().Add(time.Duration(n.patience.Load()) + killedAfter - lastCall)
 	n.loop.after(time.Until(cutoff), n.loop.abandonAll)
 	if n.turn != nil {
