--- a/internal/node/control_test.go
+++ b/internal/node/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -184,3 +185,39 @@
 		}
 	}
 }
+
+// A caller amid its request's head is not idle: neither a drain nor the process's end cuts it off.
+func TestSlowHeadIsNotIdle(t *testing.T) {
+	t.Parallel()
+	addr, _ := stub(t, ok, false)
+	n, err := New(testConfig("127.0.0.1:1", serving("s", addr)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx) }()
+	fresh, kept := dial(t, n.Addr().String()), dial(t, n.Addr().String())
+	keptR := bufio.NewReader(kept)
+	io.WriteString(kept, readRequest)
+	if resp, err := http.ReadResponse(keptR, nil); err != nil || resp.StatusCode != 200 {
+		t.Fatalf("%+v, %v", resp, err)
+	} else {
+		io.ReadAll(resp.Body)
+	}
+	for _, c := range []net.Conn{fresh, kept} {
+		io.WriteString(c, readRequest[:30])
+	}
+	time.Sleep(50 * time.Millisecond) // for the half heads to be there
+	stop()
+	time.Sleep(3 * drainIdle)
+	for name, c := range map[string]net.Conn{"fresh": fresh, "kept": kept} {
+		io.WriteString(c, readRequest[30:])
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != 200 || !resp.Close {
+			t.Errorf("%s: %+v, %v", name, resp, err)
+		}
+	}
+	if err := wait(t, done); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -15,7 +15,8 @@
 	drainIdle = 500 * time.Millisecond
 )
 
-// callers knows which of the callers' connections carry no request now, and since when.
+// callers knows which of the callers' connections carry no request now, and since when. net/http holds a
+// connection for idle until a request's whole head is there; one that has sent a part of it is not.
 type callers struct {
 	mu   sync.Mutex
 	idle map[net.Conn]time.Time
@@ -27,6 +28,9 @@
 	defer c.mu.Unlock()
 	switch s {
 	case http.StateNew, http.StateIdle:
+		if l, is := conn.(*limitedConn); is {
+			l.heard.Store(false)
+		}
 		c.idle[conn] = time.Now()
 	default:
 		delete(c.idle, conn)
@@ -38,6 +42,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, since := range c.idle {
+		if l, is := conn.(*limitedConn); is && l.heard.Load() {
+			continue
+		}
 		if time.Since(since) >= least {
 			conn.Close()
 			delete(c.idle, conn)
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -62,6 +62,20 @@
 		}}
 }
 
+const (
+	// finishPoll is how often a front that takes no more connections looks whether one is left.
+	finishPoll = 20 * time.Millisecond
+	// finishMost is how long it waits for the slowest of callers.
+	finishMost = time.Minute
+)
+
+// finish waits until every connection is done with, while it drains.
+func (f *front) finish() {
+	for end := time.Now().Add(finishMost); f.conns.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(finishPoll)
+	}
+}
+
 // ServeHTTP answers one request. It is no ServeMux, which would redirect paths that it cleans.
 func (f *front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	if hr.Method == http.MethodGet && hr.URL.Path == "/health/ready" {
--- a/internal/node/long_test.go
+++ b/internal/node/long_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -550,3 +551,44 @@
 		}
 	}
 }
+
+// A process that is told to stop does not break off a long answer, however long that goes on.
+func TestStopLeavesALongAnswerWhole(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	addr := listen(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\nx")
+			<-release
+			io.WriteString(c, strings.Repeat("x", 69999))
+		}
+	})
+	n, err := New(testConfig("127.0.0.1:1", serving("s", addr)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.patience.Store(0) // all that can be answered is to be answered at once
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx) }()
+	conn := dial(t, n.Addr().String())
+	io.WriteString(conn, head("GET", "/read/1", ""))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop()
+	time.Sleep(killedAfter + lastCall)
+	select {
+	case err := <-done:
+		t.Errorf("ended amid an answer: %v", err)
+	default:
+	}
+	close(release)
+	if b, err := io.ReadAll(resp.Body); err != nil || len(b) != 70000 {
+		t.Errorf("%d bytes, %v", len(b), err)
+	}
+	if err := wait(t, done); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -130,7 +130,8 @@
 	lastCall    = 250 * time.Millisecond
 )
 
-// Run serves until ctx ends, and then until all that was taken is answered.
+// Run serves until ctx ends, and then until all that was taken is answered. A long answer or body that is
+// under way goes on until its end, or until the process is killed: ending before would break it off.
 func (n *Node) Run(ctx context.Context) error {
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -152,6 +153,7 @@
 		go n.awaitTurn(running)
 	}
 	srv := n.front.server()
+	defer srv.Close()
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(n.listener) }()
 	select {
@@ -164,21 +166,16 @@
 	n.stopping.Store(true)
 	cutoff := time.Now().Add(time.Duration(n.patience.Load()) + killedAfter - lastCall)
 	n.loop.after(time.Until(cutoff), n.loop.abandonAll)
-	if n.turn != nil {
-		// The successor takes what is in the backlog. Here callers finish what they have begun.
-		n.front.drain.on()
-		n.listener.Close()
-		<-served // returned for that, if for nothing before
-		time.Sleep(n.linger)
-	} else {
+	n.front.drain.on()
+	if n.turn == nil {
 		select {
 		case err := <-served:
 			return fmt.Errorf("serving callers: %w", err)
 		case <-time.After(n.linger):
 		}
-	}
-	closing, cancel := context.WithDeadline(context.Background(), cutoff.Add(lastCall/2))
-	defer cancel()
-	srv.Shutdown(closing) // an error means connections that never sent a request
+	} // else the successor takes what is in the backlog
+	n.listener.Close()
+	<-served // returned for that, if for nothing before
+	n.front.finish()
 	return nil
 }
--- a/internal/node/share.go
+++ b/internal/node/share.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -139,10 +140,19 @@
 	return l.Listener.Close()
 }
 
-// limitedConn gives its place back when it is closed.
+// limitedConn gives its place back when it is closed, and knows whether its peer has sent anything.
 type limitedConn struct {
 	net.Conn
 	leave func()
+	heard atomic.Bool // since it was last idle
+}
+
+func (c *limitedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.heard.Store(true)
+	}
+	return n, err
 }
 
 func (c *limitedConn) Close() error {
