--- /dev/null
+++ b/cmd/umberbank/main_test.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func call(args ...string) (code int, out, errOut string) {
+	var o, e bytes.Buffer
+	code = run(context.Background(), args, &o, &e)
+	return code, o.String(), e.String()
+}
+
+const tiny = `name = "tiny"
+duration = "2s"
+[[tier]]
+name = "web"
+servers = 2
+[[class]]
+name = "read"
+work = ["5ms", "5ms"]
+aim = "1s"
+deadline = "2s"
+[load]
+rate = 50
+`
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// Exit codes: 0 held, 1 not held, 2 could not run; what is wrong stands on one line.
+func TestExitCodes(t *testing.T) {
+	good := write(t, "good.toml", tiny)
+	strict := write(t, "strict.toml", tiny+"[expect]\np99 = \"1ms\"\n")
+	bad := write(t, "bad.toml", tiny+"[expect]\nserved = 1\n")
+	config := write(t, "bad.json", "{}")
+	for _, c := range []struct {
+		args      []string
+		code      int
+		out, errs string
+	}{
+		{[]string{"lab", "run", good, "--virtual"}, held, "held: all", ""},
+		{[]string{"lab", "run", strict, "--virtual"}, notHeld, "NOT HELD p99 of read is", ""},
+		{[]string{"lab", "run", bad, "--virtual"}, couldNot, "", bad + ":14: expect.served: unknown key\n"},
+		{[]string{"lab", "run", good, "--set", "load.rate=-3"}, couldNot, "", "load.rate: -3 is not between"},
+		{[]string{"lab", "run", filepath.Join(t.TempDir(), "none.toml")}, couldNot, "", "no such file"},
+		{[]string{"lab", "run", good, "--node", "/bin/false"}, couldNot, "", "ended while it started: exit status 1"},
+		{[]string{"lab", "check", good, strict}, held, "in order", ""},
+		{[]string{"lab", "check", good, bad}, notHeld, "bad.toml:14: expect.served: unknown key", ""},
+		{[]string{"config", "check", config}, notHeld, "is no host:port", ""},
+		{[]string{"version"}, held, "umberbank ", ""},
+		{[]string{"--help"}, held, "Examples:", ""},
+		{[]string{"lab", "run", "--help"}, held, "Examples:", ""},
+		{[]string{"lab", "fly"}, couldNot, "", "fly"},
+	} {
+		code, out, errs := call(c.args...)
+		if code != c.code || !strings.Contains(out, c.out) || !strings.Contains(errs, c.errs) || strings.Count(errs, "\n") > 1 {
+			t.Errorf("%v: exit %d, output %q, errors %q", c.args, code, out, errs)
+		}
+	}
+}
+
+// --json prints one object with the keys that scripts rely on; the log keeps out of it.
+func TestJSON(t *testing.T) {
+	code, out, errs := call("--log-level", "info", "--log-format", "json", "lab", "run", write(t, "f.toml", tiny+"[[fault]]\nkind = \"kill\"\ncount = 1\nfor = \"1s\"\n"), "--virtual", "--json")
+	var got map[string]any
+	if err := json.Unmarshal([]byte(out), &got); err != nil || code != held {
+		t.Fatalf("exit %d, %v: %q", code, err, out)
+	}
+	for _, key := range []string{"valid", "served_share", "rules_broken", "expect_failed", "loader_late_share", "per_class", "virtual"} {
+		if _, ok := got[key]; !ok {
+			t.Errorf("no %q in %q", key, out)
+		}
+	}
+	for _, line := range strings.Split(strings.TrimSpace(errs), "\n") {
+		if !json.Valid([]byte(line)) {
+			t.Errorf("log line %q is no JSON", line)
+		}
+	}
+	if !strings.Contains(errs, "fault kill begins") {
+		t.Errorf("the log does not tell of the fault: %q", errs)
+	}
+}
--- /dev/null
+++ b/internal/lab/fault/fault.go
@@ -0,0 +1,305 @@
+// Package fault plays a timetable of faults. What each one hits is drawn by the seed before the run, so the same
+// file and seed hit the same things at the same times.
+package fault
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"hollyspur/internal/lab/model"
+	"hollyspur/internal/lab/scenario"
+	"hollyspur/internal/lab/traffic"
+)
+
+// Event is one fault of the timetable with what it hits.
+type Event struct {
+	*scenario.Fault
+	From, To time.Duration // To is From if it does not last
+	Nodes    []int         // hit, or whose links are
+	Servers  []int
+	pairs    [][2][]int // of a cut: nodes and servers that lose each other
+	into     []bool     // whether such a pair leads into the zone
+	seed     uint64
+}
+
+// Plan draws the timetable, in the order of time.
+func Plan(site *scenario.Site) []*Event {
+	var l []*Event
+	r := scenario.Rand(site.Seed, "faults")
+	for i := range site.Faults {
+		f := &site.Faults[i]
+		for n := range max(1, f.Repeat) {
+			from := f.At.D() + time.Duration(n)*f.Every.D()
+			e := &Event{Fault: f, From: from, To: from + f.For.D(), seed: r.Uint64()}
+			e.aim(site, r)
+			l = append(l, e)
+		}
+	}
+	slices.SortStableFunc(l, func(a, b *Event) int { return int(a.From - b.From) })
+	return l
+}
+
+// aim draws what a fault hits.
+func (e *Event) aim(site *scenario.Site, r *rand.Rand) {
+	tier, zone := -1, -1
+	for i, t := range site.Tiers {
+		if t.Name == e.Tier {
+			tier = i
+		}
+	}
+	for i, z := range site.Zones {
+		if z.Name == e.Zone {
+			zone = i
+		}
+	}
+	var nodes, servers []int
+	for i, n := range site.Nodes {
+		front := n.Owner < 0 && (tier < 0 || tier == 0)
+		beside := n.Owner >= 0 && tier == n.Tier
+		named := len(e.Names) == 0 && (front || beside) || slices.Contains(e.Names, n.Name)
+		if named && (zone < 0 || n.Zone == zone) {
+			nodes = append(nodes, i)
+		}
+	}
+	for i, s := range site.Servers {
+		if (len(e.Names) == 0 || slices.Contains(e.Names, s.Name)) && (tier < 0 || s.Tier == tier) && (zone < 0 || s.Zone == zone) {
+			servers = append(servers, i)
+		}
+	}
+	switch scenario.Target[e.Kind] {
+	case scenario.OnNodes, scenario.OnLists:
+		e.Nodes = e.some(nodes, r)
+	case scenario.OnServers:
+		e.Servers = e.some(servers, r)
+	case scenario.OnLinks:
+		if e.Kind == "cut" {
+			e.cut(site, zone)
+			return
+		}
+		e.Servers = e.some(servers, r)
+		for i, n := range site.Nodes {
+			if len(e.Fault.From) == 0 || slices.Contains(e.Fault.From, n.Name) {
+				e.Nodes = append(e.Nodes, i)
+			}
+		}
+	}
+}
+
+// some draws as many as the fault wants, else takes all.
+func (e *Event) some(l []int, r *rand.Rand) []int {
+	n := len(l)
+	switch {
+	case e.Count > 0:
+		n = min(n, e.Count)
+	case e.Share > 0:
+		n = int(math.Round(e.Share * float64(n)))
+	default:
+		return l
+	}
+	picked := make([]int, 0, n)
+	for _, i := range r.Perm(len(l))[:n] {
+		picked = append(picked, l[i])
+	}
+	slices.Sort(picked)
+	return picked
+}
+
+// cut parts a zone from all others.
+func (e *Event) cut(site *scenario.Site, zone int) {
+	var nodes, servers [2][]int // outside, inside
+	for i, n := range site.Nodes {
+		in := b2i(n.Zone == zone)
+		nodes[in] = append(nodes[in], i)
+	}
+	for i, s := range site.Servers {
+		in := b2i(s.Zone == zone)
+		servers[in] = append(servers[in], i)
+	}
+	e.pairs = [][2][]int{{nodes[0], servers[1]}, {nodes[1], servers[0]}}
+	e.into = []bool{true, false}
+	e.Nodes, e.Servers = nodes[1], servers[1]
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Links names every link from a node to a server that an event may touch.
+func Links(events []*Event, site *scenario.Site, touch func(node, server int)) {
+	for _, e := range events {
+		pairs := e.pairs
+		switch e.Kind {
+		case "delay", "silence", "refuse", "reset", "trickle":
+			pairs = [][2][]int{{e.Nodes, e.Servers}}
+		case "crash", "vanish":
+			all := make([]int, len(site.Nodes))
+			for i := range all {
+				all[i] = i
+			}
+			pairs = [][2][]int{{all, e.Servers}}
+		}
+		for _, p := range pairs {
+			for _, n := range p[0] {
+				for _, s := range p[1] {
+					if site.Nodes[n].Tier == site.Servers[s].Tier {
+						touch(n, s)
+					}
+				}
+			}
+		}
+	}
+}
+
+// Player carries the timetable out.
+type Player struct {
+	World   *model.World
+	Clients *traffic.Clients
+	Process func(node int, act model.ProcessAct) // tells everybody concerned
+	Note    func(e *Event, on bool)              // hears of every beginning and end
+}
+
+// Start plans all events on the loop.
+func (p *Player) Start(events []*Event) {
+	for _, e := range events {
+		p.World.Loop.At(e.From, func() {
+			p.Note(e, true)
+			p.play(e)
+		})
+	}
+}
+
+// during runs f with true now and with false when the event's time is over.
+func (p *Player) during(e *Event, f func(on bool)) {
+	f(true)
+	p.World.Loop.At(e.To, func() {
+		p.Note(e, false)
+		f(false)
+	})
+}
+
+func (p *Player) play(e *Event) {
+	switch scenario.Target[e.Kind] {
+	case scenario.OnNodes:
+		p.playNodes(e)
+	case scenario.OnServers:
+		p.playServers(e)
+	case scenario.OnLinks:
+		p.playLinks(e)
+	case scenario.OnLists:
+		p.playLists(e)
+	case scenario.OnLoad:
+		p.playLoad(e)
+	}
+}
+
+func (p *Player) playNodes(e *Event) {
+	act := map[string][2]model.ProcessAct{"kill": {model.Kill, model.Start}, "term": {model.Terminate, model.Start},
+		"stop": {model.Pause, model.Resume}}[e.Kind]
+	p.during(e, func(on bool) {
+		for _, n := range e.Nodes {
+			p.Process(n, act[b2i(!on)])
+		}
+	})
+}
+
+func (p *Player) playServers(e *Event) {
+	p.during(e, func(on bool) {
+		for _, i := range e.Servers {
+			s := p.World.Servers[i]
+			switch e.Kind {
+			case "crash", "vanish":
+				if on {
+					s.Down(e.Kind == "vanish")
+				} else {
+					s.Start()
+				}
+			case "hang":
+				s.Hang(on)
+			case "slow":
+				s.Slow(e.Factor, on)
+			case "error":
+				s.Err(e.Factor, on)
+			case "turn-away":
+				s.TurnAway(on)
+			case "drain":
+				if on {
+					s.Drain()
+				} else {
+					s.Down(false)
+					p.World.Loop.After(restartAfter, s.Start)
+				}
+			}
+		}
+	})
+}
+
+// restartAfter is how long a drained server is down before it starts anew.
+const restartAfter = 500 * time.Millisecond
+
+func (p *Player) playLinks(e *Event) {
+	pairs, into := e.pairs, e.into
+	if e.Kind != "cut" {
+		pairs, into = [][2][]int{{e.Nodes, e.Servers}}, []bool{true}
+	}
+	var effects []*model.Effect
+	for i := range pairs {
+		// "there" is towards the servers, or into the zone of a cut.
+		there, back := e.Direction != "back", e.Direction != "there"
+		if !into[i] {
+			there, back = back, there
+		}
+		effects = append(effects, &model.Effect{Delay: e.Delay.D(), Jitter: e.Jitter.D(), Rate: e.Rate, There: there, Back: back,
+			Silent: e.Kind == "silence" || e.Kind == "cut", Refuse: e.Kind == "refuse", Reset: e.Kind == "reset"})
+	}
+	p.during(e, func(on bool) {
+		for i, pair := range pairs {
+			p.World.Backend.Links(pair[0], pair[1], effects[i], on)
+		}
+	})
+}
+
+func (p *Player) playLists(e *Event) {
+	d := p.World.Directory
+	r := rand.New(rand.NewPCG(e.seed, 0))
+	gone := map[int]bool{}
+	for i := range p.World.Site.Servers {
+		gone[i] = r.Float64() < e.Factor
+	}
+	p.during(e, func(on bool) {
+		for _, n := range e.Nodes {
+			switch e.Kind {
+			case "stale":
+				d.Stale(n, e.Delay.D(), on)
+			case "empty":
+				d.Hide(n, when(on, func(model.Entry) bool { return true }))
+			case "shrink":
+				d.Hide(n, when(on, func(en model.Entry) bool { return gone[en.Server] }))
+			case "reorder":
+				d.Rewind(n, on)
+			}
+		}
+	})
+}
+
+func when(on bool, mask func(model.Entry) bool) func(model.Entry) bool {
+	if on {
+		return mask
+	}
+	return nil
+}
+
+func (p *Player) playLoad(e *Event) {
+	class := slices.IndexFunc(p.World.Site.Classes, func(c scenario.Class) bool { return c.Name == e.Class })
+	p.during(e, func(on bool) {
+		if e.Kind == "burst" {
+			p.Clients.Burst(e.Factor, on)
+		} else {
+			p.Clients.Heavy(class, e.Share, e.Factor, on)
+		}
+	})
+}
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,373 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"hollyspur/internal/lab/oracle"
+	"hollyspur/internal/lab/scenario"
+	"hollyspur/internal/node"
+	"hollyspur/labs"
+)
+
+// The test binary is the node processes too: the one in service, or a wrong one.
+func TestMain(m *testing.M) {
+	switch mode := os.Getenv("LAB_TEST_NODE"); mode {
+	case "":
+		goleak.VerifyTestMain(m)
+	case "right":
+		ctx, stop := signalContext()
+		defer stop()
+		if err := node.RunProgram(ctx, make(chan os.Signal)); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	default:
+		wrongNode(mode)
+	}
+}
+
+// nodeCommand is the command that makes a process of the test binary a node of a mode.
+func nodeCommand(t *testing.T, mode string) []string {
+	t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return []string{"/usr/bin/env", "LAB_TEST_NODE=" + mode, self}
+}
+
+func parse(t *testing.T, text string, overrides ...string) *scenario.Scenario {
+	t.Helper()
+	s, err := scenario.Parse("test.toml", []byte(text), overrides)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func shipped(t *testing.T, name string, overrides ...string) *scenario.Scenario {
+	t.Helper()
+	text, err := labs.Files.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return parse(t, string(text), overrides...)
+}
+
+func play(t *testing.T, s *scenario.Scenario, opt Options) *Result {
+	t.Helper()
+	if opt.Seed == 0 {
+		opt.Seed = 1
+	}
+	r, err := Run(t.Context(), s, opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// Every scenario that comes with the program holds on the virtual clock, and the same seed gives the same bytes.
+func TestVirtual(t *testing.T) {
+	files, err := labs.Files.ReadDir(".")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range files {
+		t.Run(f.Name(), func(t *testing.T) {
+			t.Parallel()
+			var before []byte
+			for range 2 {
+				r := play(t, shipped(t, f.Name()), Options{Virtual: true, Seed: 4})
+				if !r.Held() {
+					t.Errorf("not held: %v %v", r.Failed, r.Violations)
+				}
+				text, err := json.Marshal(r)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if before != nil && !bytes.Equal(before, text) {
+					t.Error("the same seed gave another result")
+				}
+				before = text
+			}
+		})
+	}
+}
+
+// small is a site that starts fast. With racks of one server a keyed request may go to one server only.
+const small = `
+name = "small"
+duration = "3s"
+nodes = 2
+[[tier]]
+name = "web"
+servers = 4
+rack_size = 1
+kind = [{ cold_from = 0.2, cold_for = ["5s", "5s"] }]
+[[class]]
+name = "read"
+work = ["5ms", "5ms"]
+aim = "500ms"
+deadline = "1s"
+[[class]]
+name = "pay"
+work = ["5ms", "5ms"]
+aim = "500ms"
+deadline = "1s"
+effect = "unsafe"
+[[class]]
+name = "apply"
+work = ["5ms", "5ms"]
+aim = "500ms"
+deadline = "1s"
+effect = "keyed"
+[load]
+rate = 60
+[clients]
+retries = 0
+impatient = 0
+[discovery]
+delay = ["100ms", "200ms"]
+[limits]
+slack = "400ms"
+[expect]
+rules_broken = 0
+`
+
+// The oracle names each rule that a wrong node breaks, with the request and how it went, and names none where the
+// right one is in its place.
+func TestOracleIsProven(t *testing.T) {
+	drain := "\n[[fault]]\nkind = \"drain\"\nat = \"300ms\"\nfor = \"2s\"\nnames = [\"web-0\"]\n"
+	fresh := "\n[[fault]]\nkind = \"crash\"\nat = \"100ms\"\nfor = \"300ms\"\nnames = [\"web-0\"]\n"
+	for mode, c := range map[string]struct{ rule, fault, set string }{
+		"silent":    {rule: oracle.Lost},
+		"hang-up":   {rule: oracle.Lost},
+		"twice":     {rule: oracle.Twice},
+		"elsewhere": {rule: oracle.Keyed},
+		"many":      {rule: oracle.Copies},
+		"beside":    {rule: oracle.Copies, set: "limits.second_copies=false"},
+		"promise":   {rule: oracle.Promised},
+		"deaf":      {rule: oracle.Drained, fault: drain},
+		"crowd":     {rule: oracle.Cold, fault: fresh, set: "load.rate=1000"},
+		"invent":    {rule: oracle.Phantom},
+		"alter":     {rule: oracle.Phantom},
+		"make-up":   {rule: oracle.Spoilt},
+		"die":       {rule: oracle.Crash},
+		"right":     {fault: drain + fresh},
+	} {
+		t.Run(mode, func(t *testing.T) {
+			t.Parallel()
+			var set []string
+			if c.set != "" {
+				set = append(set, c.set)
+			}
+			r := play(t, parse(t, small+c.fault, set...), Options{Node: nodeCommand(t, mode)})
+			if c.rule == "" {
+				if r.RulesBroken > 0 {
+					t.Errorf("the right node breaks rules: %+v", r.Violations)
+				}
+				return
+			}
+			if r.Rules[c.rule] == 0 {
+				t.Fatalf("rule %s not named; broken: %v", c.rule, r.Rules)
+			}
+			if r.Held() {
+				t.Error("the run counts as held")
+			}
+			for _, v := range r.Violations {
+				if v.Rule == c.rule && v.Detail != "" && (len(v.Trace) > 0 || c.rule == oracle.Cold || c.rule == oracle.Phantom || c.rule == oracle.Crash) {
+					return
+				}
+			}
+			t.Errorf("no violation of %s tells how it went: %+v", c.rule, r.Violations)
+		})
+	}
+}
+
+// Real processes with faults between them; the served share is near what the virtual clock gives.
+func TestRealAgreesWithVirtual(t *testing.T) {
+	t.Parallel()
+	s := func() *scenario.Scenario {
+		s := shipped(t, "default.toml", "limits.slack=\"400ms\"")
+		s.Shorten(10 * time.Second)
+		return s
+	}
+	real := play(t, s(), Options{Node: nodeCommand(t, "right")})
+	virtual := play(t, s(), Options{Virtual: true})
+	if real.RulesBroken > 0 {
+		t.Errorf("rules broken: %+v", real.Violations)
+	}
+	if real.Asked != virtual.Asked {
+		t.Errorf("%d requests on the machine's clock, %d on the virtual one", real.Asked, virtual.Asked)
+	}
+	if d := real.Served - virtual.Served; real.Valid && (d > 0.05 || d < -0.05) {
+		t.Errorf("served %.3f on the machine's clock, %.3f on the virtual one", real.Served, virtual.Served)
+	}
+}
+
+// Hard cases on the virtual clock: no server at the start, all gone at once, faults over each other, and a
+// thousand of them in a minute. The run ends, every request has an end, and what can be served is.
+func TestHardCases(t *testing.T) {
+	every := func(kind, more string) string {
+		return fmt.Sprintf("\n[[fault]]\nkind = %q\nrepeat = 125\nevery = \"480ms\"\nfor = \"700ms\"\ncount = 1\n%s\n", kind, more)
+	}
+	thousand := ""
+	for _, k := range []string{"crash", "vanish", "hang", "kill", "stop", "silence", "refuse"} {
+		thousand += every(k, "")
+	}
+	thousand += every("slow", "factor = 4")
+	for name, c := range map[string]struct {
+		text  string
+		set   []string
+		least float64
+		most  float64
+	}{
+		"no servers":  {small, []string{"duration=\"2s\""}, 0, 0},
+		"all gone":    {small + "\n[[fault]]\nkind = \"crash\"\nat = \"1s\"\nfor = \"2s\"\n", []string{"duration=\"8s\"", "discovery.notice=\"300ms\""}, 0.4, 0.9},
+		"overlapping": {small + every("delay", "delay = \"5ms\"") + every("silence", "") + every("reset", ""), []string{"duration=\"60s\""}, 0.5, 1},
+		"thousand":    {small + thousand, []string{"duration=\"60s\""}, 0.01, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			text := c.text
+			if name == "no servers" {
+				text = strings.Replace(text, "servers = 4", "servers = 0", 1)
+			}
+			r := play(t, parse(t, text, c.set...), Options{Virtual: true})
+			if r.RulesBroken > 0 {
+				t.Errorf("rules broken: %v %+v", r.Rules, r.Violations[0])
+			}
+			if r.Served < c.least || r.Served > c.most {
+				t.Errorf("served %.3f, want %v to %v", r.Served, c.least, c.most)
+			}
+			for name, k := range r.Classes {
+				if k.Asked != k.Served+k.Late+k.Refused+k.Failed+k.Gone || k.Asked == 0 {
+					t.Errorf("%s: %+v does not add up", name, k)
+				}
+			}
+		})
+	}
+}
+
+// A node that dies while it starts ends the run with its own words.
+func TestNodeDiesAtStart(t *testing.T) {
+	t.Parallel()
+	_, err := Run(t.Context(), parse(t, small), Options{Seed: 1, Node: []string{"/bin/sh", "-c", "echo no such luck >&2; exit 3"}})
+	if err == nil || !strings.Contains(err.Error(), "exit status 3") || !strings.Contains(err.Error(), "no such luck") {
+		t.Errorf("error %v", err)
+	}
+}
+
+// Another's port in the way: the run takes a network that nobody has.
+func TestPortInUse(t *testing.T) {
+	t.Parallel()
+	var held []net.Listener
+	for i := range 3 { // the ones that this process would try first
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:2999", 20+(os.Getpid()+i)%200))
+		if err == nil {
+			held = append(held, l)
+		}
+	}
+	defer func() {
+		for _, l := range held {
+			l.Close()
+		}
+	}()
+	r := play(t, parse(t, small, "duration=\"1s\""), Options{Node: nodeCommand(t, "right")})
+	if r.Asked == 0 || r.RulesBroken > 0 {
+		t.Errorf("asked %d, broken %v", r.Asked, r.Rules)
+	}
+}
+
+// Broken off in the middle: what came until then is told, and no process is left.
+func TestInterrupted(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	pids := filepath.Join(t.TempDir(), "pids")
+	command := append([]string{"/bin/sh", "-c", `echo $$ >> "$0"; exec "$@"`, pids}, nodeCommand(t, "right")...)
+	var once sync.Once
+	r, err := Run(ctx, parse(t, small, "duration=\"60s\""), Options{Seed: 1, Node: command,
+		Progress: func(done, total time.Duration) { once.Do(cancel) }})
+	if !errors.Is(err, context.Canceled) {
+		t.Fatalf("error %v", err)
+	}
+	if r == nil || !r.Partial || r.Valid || r.Asked == 0 {
+		t.Errorf("result %+v", r)
+	}
+	text, err := os.ReadFile(pids)
+	if err != nil {
+		t.Fatal(err)
+	}
+	started := strings.Fields(string(text))
+	if len(started) != 2 {
+		t.Errorf("%d processes were started", len(started))
+	}
+	for _, pid := range started {
+		if _, err := os.Stat("/proc/" + pid); err == nil {
+			t.Errorf("process %s is left", pid)
+		}
+	}
+}
+
+// A loader that stood still sends late, and the run says that it does not count.
+func TestStalledLoaderIsInvalid(t *testing.T) {
+	t.Parallel()
+	if os.Getenv("LAB_TEST_STALL") != "" {
+		r := play(t, parse(t, small, "duration=\"4s\""), Options{Node: nodeCommand(t, "right"), Progress: func(done, _ time.Duration) {
+			fmt.Println("PROGRESS")
+		}})
+		fmt.Printf("\nRESULT valid=%v late=%.3f lost=%d\n", r.Valid, r.LateShare, r.Rules[oracle.Lost])
+		return
+	}
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(self, "-test.run=^TestStalledLoaderIsInvalid$")
+	cmd.Env = append(os.Environ(), "LAB_TEST_STALL=1")
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	var all bytes.Buffer
+	buf := make([]byte, 4096)
+	stalled := false
+	for {
+		n, err := out.Read(buf)
+		all.Write(buf[:n])
+		if !stalled && strings.Contains(all.String(), "PROGRESS") {
+			stalled = true
+			cmd.Process.Signal(syscall.SIGSTOP)
+			time.Sleep(700 * time.Millisecond) // the fault itself: how long the loader stands still
+			cmd.Process.Signal(syscall.SIGCONT)
+		}
+		if err != nil {
+			break
+		}
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Fatalf("%v\n%s", err, all.String())
+	}
+	if !strings.Contains(all.String(), "RESULT valid=false") || !strings.Contains(all.String(), "lost=0") {
+		t.Errorf("want an invalid run that blames no node:\n%s", all.String())
+	}
+}
--- /dev/null
+++ b/internal/lab/model/directory.go
@@ -0,0 +1,153 @@
+package model
+
+import (
+	"time"
+
+	"hollyspur/internal/lab/scenario"
+)
+
+// Entry is a server as discovery lists it.
+type Entry struct {
+	Server int
+	State  State
+	Boot   time.Duration // on the loop's clock; negative: long ago
+}
+
+// List is a message of discovery: the whole list, or what has changed.
+type List struct {
+	Rev     int64
+	All     bool
+	Entries []Entry
+}
+
+// Directory is discovery: changes get a revision at once and come to each node's agent late, in order. What an
+// agent holds counts as told to its node.
+type Directory struct {
+	w      *World
+	log    []Entry // the entry of revision i+1
+	agents []agent
+	first  []State
+}
+
+// agent is what one node's discovery holds.
+type agent struct {
+	rev   int64
+	stale time.Duration    // added to what comes
+	mask  func(Entry) bool // what a fault hides; nil: nothing
+	back  int64            // a fault shows an older revision, this one; 0: no
+	said  int64            // added to revisions after a whole list that a fault made
+}
+
+func newDirectory(w *World) *Directory {
+	return &Directory{w: w, agents: make([]agent, len(w.Site.Nodes))}
+}
+
+// Change enters a server's new state and sends it out.
+func (d *Directory) Change(server int, st State) {
+	e := Entry{server, st, d.w.Servers[server].boot}
+	d.log = append(d.log, e)
+	rev := int64(len(d.log))
+	r := scenario.Rand(d.w.Site.Seed, "news "+time.Duration(rev).String())
+	base := scenario.In(r, d.w.Site.Discovery.Delay).D()
+	spread := float64(base) / 4
+	for n := range d.agents {
+		if d.w.Site.Nodes[n].Tier != d.w.Site.Servers[server].Tier {
+			continue
+		}
+		wait := base + time.Duration(r.Float64()*spread) + d.agents[n].stale
+		d.w.Loop.After(wait, func() { d.deliver(n, rev) })
+	}
+}
+
+// deliver brings an agent up to a revision.
+func (d *Directory) deliver(n int, rev int64) {
+	a := &d.agents[n]
+	if rev <= a.rev {
+		return
+	}
+	from := a.rev
+	a.rev = rev
+	var l []Entry
+	for _, e := range d.log[from:rev] {
+		if d.w.Site.Servers[e.Server].Tier != d.w.Site.Nodes[n].Tier || a.mask != nil && a.mask(e) {
+			continue
+		}
+		l = append(l, e)
+		d.w.Observer.Told(n, e.Server, e.State)
+	}
+	if len(l) > 0 && a.back == 0 {
+		d.w.Backend.Tell(n, List{Rev: rev + a.said, Entries: l})
+	}
+}
+
+// List is the whole list as a node's agent holds it.
+func (d *Directory) List(n int) List {
+	a := &d.agents[n]
+	rev := a.rev
+	if a.back > 0 {
+		rev = a.back - 1
+	}
+	l := List{Rev: rev + a.said, All: true}
+	tier := d.w.Site.Nodes[n].Tier
+	entries := map[int]Entry{}
+	for _, e := range d.log[:rev] {
+		entries[e.Server] = e
+	}
+	for i := range d.w.Site.Servers {
+		if d.w.Site.Servers[i].Tier != tier {
+			continue
+		}
+		e, changed := entries[i]
+		if !changed {
+			e = Entry{Server: i, Boot: -time.Hour}
+		}
+		if e.State != Deleted && (a.mask == nil || !a.mask(e)) {
+			l.Entries = append(l.Entries, e)
+		}
+	}
+	return l
+}
+
+// Stale adds to the delay of what an agent hears, or takes that off again.
+func (d *Directory) Stale(n int, by time.Duration, on bool) {
+	if !on {
+		by = -by
+	}
+	d.agents[n].stale += by
+}
+
+// Hide makes an agent give a whole list without what mask names, and with nil the true one again.
+func (d *Directory) Hide(n int, mask func(Entry) bool) {
+	a := &d.agents[n]
+	before := a.mask
+	a.mask = mask
+	a.said++
+	for _, e := range d.whole(n) {
+		if mask != nil && mask(e) {
+			d.w.Observer.Told(n, e.Server, Deleted)
+		} else if mask == nil && before != nil && before(e) {
+			d.w.Observer.Told(n, e.Server, e.State)
+		}
+	}
+	d.w.Backend.Tell(n, d.List(n))
+}
+
+// whole is the list that the agent would give without faults.
+func (d *Directory) whole(n int) []Entry {
+	a := &d.agents[n]
+	mask, back := a.mask, a.back
+	a.mask, a.back = nil, 0
+	defer func() { a.mask, a.back = mask, back }()
+	return d.List(n).Entries
+}
+
+// Rewind makes an agent give a whole list of an older revision, and then the true one again. What was told stays
+// told: an older list takes nothing back.
+func (d *Directory) Rewind(n int, on bool) {
+	a := &d.agents[n]
+	a.back = 0
+	if on {
+		a.back = max(0, a.rev-2) + 1
+	}
+	d.w.Backend.Tell(n, d.List(n))
+}
--- /dev/null
+++ b/internal/lab/model/model.go
@@ -0,0 +1,179 @@
+// Package model is the fleet as the lab plays it: servers that work, queue, choke and start cold, and discovery
+// that tells of them late. All of it runs on one sim.Loop, so the real and the virtual clock play the same
+// model; what differs is the Backend, which carries requests to nodes and from them to servers.
+package model
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"hollyspur/internal/lab/scenario"
+	"hollyspur/internal/lab/sim"
+)
+
+// Call is one request to a node, by a client or by a server that calls the next tier. Each has an id of its own.
+type Call struct {
+	ID     string
+	Class  int
+	Tier   int // that serves it
+	Node   int // that it is sent to
+	Key    string
+	Work   time.Duration // on a yardstick core
+	Left   time.Duration // for which the sender waits, from Sent
+	Sent   time.Duration
+	Repeat bool
+}
+
+// Reply is what became of a call, as its sender sees it.
+type Reply int
+
+// Replies. Unreached: no connection came up. Lost: the connection ended without a whole answer.
+const (
+	Served Reply = iota
+	Refused
+	Failed
+	Unreached
+	Lost
+)
+
+func (r Reply) String() string {
+	return [...]string{"served", "refused", "failed", "unreached", "lost"}[r]
+}
+
+// Answer is the end of a call. Body is what a server made, for a Served one.
+type Answer struct {
+	Reply      Reply
+	RetryAfter time.Duration
+	Body       string
+	Late       time.Duration // how much later than Sent the call was written
+}
+
+// Outcome is how an attempt ended at the server.
+type Outcome int
+
+// Outcomes. TurnedAway proves that it never ran.
+const (
+	Done Outcome = iota
+	Errored
+	TurnedAway
+	Reset
+	Dropped // the sender had gone
+)
+
+func (o Outcome) String() string {
+	return [...]string{"done", "error", "turned away", "reset", "dropped"}[o]
+}
+
+// ProcessAct is something done to a node's process.
+type ProcessAct int
+
+// What can be done to a process.
+const (
+	Start ProcessAct = iota
+	Kill
+	Terminate
+	Pause
+	Resume
+)
+
+func (a ProcessAct) String() string {
+	return [...]string{"start", "kill", "terminate", "pause", "resume"}[a]
+}
+
+// Effect is what a link does to bytes, each way. Several may hold at once: delays add up, and the worst of the rest
+// counts.
+type Effect struct {
+	Delay, Jitter time.Duration // each way that is hit
+	Silent        bool          // nothing arrives, nothing is said
+	Refuse        bool          // new connections are refused
+	Reset         bool          // open ones are reset, once
+	Rate          int           // bytes a second; 0: as fast as may be
+	There, Back   bool          // which way is hit: to the server, to the node
+}
+
+// Backend carries calls to nodes, and lets the faults act on processes and links. Its methods run on the loop.
+type Backend interface {
+	// Send gives a call to its node. done runs on the loop, once, unless the sender leaves before.
+	Send(c *Call, done func(Answer)) (leave func())
+	// Tell brings a node news from discovery.
+	Tell(node int, l List)
+	// Process acts on a node's process.
+	Process(node int, act ProcessAct)
+	// Links puts an effect on the links from nodes to servers, or takes it off again.
+	Links(nodes, servers []int, e *Effect, on bool)
+	// ServerDown ends a server's connections; silent: its machine says nothing any more.
+	ServerDown(server int, silent bool)
+	// ServerUp lets connections come again.
+	ServerUp(server int)
+}
+
+// Observer sees what happens at servers and what nodes are told; the oracle is one.
+type Observer interface {
+	Sent(c *Call)
+	Answered(c *Call, a Answer)
+	Left(c *Call)
+	Arrived(a *Attempt, server int)
+	Ended(a *Attempt, o Outcome)
+	Told(node, server int, st State)
+	Fell(server int)
+}
+
+// World is the fleet without its nodes.
+type World struct {
+	Loop      *sim.Loop
+	Site      *scenario.Site
+	Backend   Backend
+	Observer  Observer
+	Servers   []*Server
+	Directory *Directory
+
+	keys   map[rackKey]time.Duration // when a keyed request was first taken by a rack
+	calls  uint64
+	rng    *rand.Rand
+	inCall int // calls between servers that have not ended
+}
+
+type rackKey struct {
+	rack int
+	key  string
+}
+
+// NewWorld returns the fleet of a site. The Backend is set before the loop runs.
+func NewWorld(loop *sim.Loop, site *scenario.Site, o Observer) *World {
+	w := &World{Loop: loop, Site: site, Observer: o, keys: map[rackKey]time.Duration{}, rng: scenario.Rand(site.Seed, "calls")}
+	for i := range site.Servers {
+		w.Servers = append(w.Servers, newServer(w, i))
+	}
+	w.Directory = newDirectory(w)
+	return w
+}
+
+// dropped tells whether the rack drops a keyed call as a repeat, and remembers it if not.
+func (w *World) dropped(rack int, c *Call) bool {
+	class := &w.Site.Classes[c.Class]
+	if c.Key == "" || class.Effect != "keyed" {
+		return false
+	}
+	switch class.Scope {
+	case "all":
+		rack = -1
+	case "zone":
+		rack = -2 - w.Site.Nodes[c.Node].Zone
+	}
+	k, now := rackKey{rack, c.Key}, w.Loop.Now()
+	if at, seen := w.keys[k]; seen && now-at < class.Window.D() {
+		return true
+	}
+	if len(w.keys) > 1<<16 {
+		for old, at := range w.keys {
+			if now-at > time.Minute {
+				delete(w.keys, old)
+			}
+		}
+	}
+	w.keys[k] = now
+	return false
+}
+
+// Body is what a server answers to a call that it has done.
+func Body(c *Call, server string) string { return c.ID + "@" + server }
--- /dev/null
+++ b/internal/lab/model/server_test.go
@@ -0,0 +1,171 @@
+package model
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"hollyspur/internal/lab/scenario"
+	"hollyspur/internal/lab/sim"
+)
+
+// nobody is an Observer and a Backend for servers that stand alone.
+type nobody struct{ fell int }
+
+func (*nobody) Sent(*Call)                          {}
+func (*nobody) Answered(*Call, Answer)              {}
+func (*nobody) Left(*Call)                          {}
+func (*nobody) Arrived(*Attempt, int)               {}
+func (*nobody) Ended(*Attempt, Outcome)             {}
+func (*nobody) Told(int, int, State)                {}
+func (n *nobody) Fell(int)                          { n.fell++ }
+func (*nobody) Send(*Call, func(Answer)) func()     { panic("no tier below") }
+func (*nobody) Tell(int, List)                      {}
+func (*nobody) Process(int, ProcessAct)             {}
+func (*nobody) Links(_, _ []int, _ *Effect, _ bool) {}
+func (*nobody) ServerDown(int, bool)                {}
+func (*nobody) ServerUp(int)                        {}
+
+const one = `nodes = 1
+[[tier]]
+name = "web"
+servers = 1
+kind = [{ cores = 2, speed = [%v, %v], slots_per_core = 3, queue_per_core = 2, cold_from = 0.5, cold_for = ["4s", "4s"],
+  choke = { at = 2, after = "1s", slower = 4, below = 0.6, rest = "500ms", most = "30s" } }]
+[[class]]
+name = "read"
+work = ["10ms", "10ms"]
+aim = "1s"
+deadline = "2s"
+[load]
+rate = 1
+`
+
+func alone(t interface{ Fatal(...any) }, speed float64) (*World, *Server, *nobody) {
+	s, err := scenario.Parse("one", []byte(fmt.Sprintf(one, speed, speed)), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &nobody{}
+	w := NewWorld(sim.New(), scenario.NewSite(s, 1), n)
+	w.Backend = n
+	return w, w.Servers[0], n
+}
+
+// send lets work arrive at a time and notes when and how it ends.
+func send(w *World, s *Server, at, work time.Duration, ended func(Outcome)) *Attempt {
+	a := &Attempt{Call: &Call{ID: fmt.Sprint(at, work), Work: work}}
+	a.Done = func(o Outcome, _ string) { ended(o) }
+	w.Loop.At(at, func() { s.Arrive(a) })
+	return a
+}
+
+// Whatever arrives, each attempt ends once; no core does more work than it has time for, and none idles while there
+// is work.
+func TestWorkIsConserved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		speed := rapid.Float64Range(0.2, 3).Draw(t, "speed")
+		w, s, _ := alone(t, speed)
+		ends := map[int]int{}
+		var done, total time.Duration
+		var last time.Duration
+		n := rapid.IntRange(1, 6).Draw(t, "attempts") // no more than the slots: none is turned away
+		for i := range n {
+			work := time.Duration(rapid.IntRange(1, 50).Draw(t, "work")) * time.Millisecond
+			total += work
+			send(w, s, 0, work, func(o Outcome) {
+				ends[i]++
+				if o == Done {
+					done += work
+					last = w.Loop.Now()
+				}
+			})
+		}
+		if err := w.Loop.RunVirtual(context.Background(), time.Minute); err != nil {
+			t.Fatal(err)
+		}
+		for i := range n {
+			if ends[i] != 1 {
+				t.Fatalf("attempt %d ended %d times", i, ends[i])
+			}
+		}
+		if done != total || s.InFlight() != 0 {
+			t.Fatalf("did %v of %v, %d in flight", done, total, s.InFlight())
+		}
+		least := time.Duration(float64(total) / speed / 2)
+		if last < least-time.Microsecond {
+			t.Fatalf("two cores did %v of work in %v at speed %v", total, last, speed)
+		}
+	})
+}
+
+// The cores are shared evenly: four equal attempts on two cores take twice as long as one, and end together.
+func TestSharing(t *testing.T) {
+	w, s, _ := alone(t, 1)
+	var ends []time.Duration
+	for range 4 {
+		send(w, s, 0, 100*time.Millisecond, func(Outcome) { ends = append(ends, w.Loop.Now()) })
+	}
+	w.Loop.RunVirtual(context.Background(), time.Second)
+	for _, e := range ends {
+		if math.Abs(float64(e-200*time.Millisecond)) > float64(time.Microsecond) {
+			t.Errorf("ends at %v", ends)
+		}
+	}
+}
+
+// Six slots and a queue of four: the eleventh is turned away, and a cancel takes what waits out.
+func TestQueueAndCancel(t *testing.T) {
+	w, s, _ := alone(t, 1)
+	count := map[Outcome]int{}
+	var waits *Attempt
+	for i := range 11 {
+		a := send(w, s, time.Duration(i), 100*time.Millisecond, func(o Outcome) { count[o]++ })
+		if i == 9 {
+			waits = a
+		}
+	}
+	w.Loop.At(time.Millisecond, func() { s.Cancel(waits) })
+	w.Loop.RunVirtual(context.Background(), 10*time.Second)
+	if count[Done] != 9 || count[TurnedAway] != 1 || count[Dropped] != 1 {
+		t.Errorf("%v", count)
+	}
+}
+
+// Held above its mark for its time a server chokes, and it recovers when it has rested.
+func TestChoke(t *testing.T) {
+	w, s, _ := alone(t, 1)
+	for i := range 10 {
+		send(w, s, 0, 800*time.Millisecond+time.Duration(i), func(Outcome) {})
+	}
+	var at2, at30 float64
+	w.Loop.At(2*time.Second, func() { at2 = s.pace() * float64(len(s.run)) })
+	w.Loop.At(29*time.Second, func() { at30 = s.pace() })
+	w.Loop.RunVirtual(context.Background(), 30*time.Second)
+	if at2 != 0.5 || at30 != 1 {
+		t.Errorf("two cores do %v when choked, want 0.5; one does %v after the rest, want 1", at2, at30)
+	}
+}
+
+// A cold server bears three times what it can do, and not more.
+func TestFalls(t *testing.T) {
+	for _, c := range []struct {
+		every time.Duration
+		falls int
+	}{{10 * time.Millisecond, 0}, {2 * time.Millisecond, 1}} {
+		w, s, n := alone(t, 1)
+		s.Down(false)
+		s.Start()
+		for at := time.Duration(0); at < 3*time.Second; at += c.every {
+			send(w, s, at, 10*time.Millisecond, func(Outcome) {})
+		}
+		w.Loop.RunVirtual(context.Background(), 4*time.Second)
+		if n.fell != c.falls || s.Up() != (c.falls == 0) {
+			t.Errorf("10 ms of work every %v: fell %d times", c.every, n.fell)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/relay/relay_test.go
@@ -0,0 +1,173 @@
+package relay
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// limit is how long anything may take that has to happen.
+const limit = 20 * time.Second
+
+// echo answers each line with itself.
+func echo(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				io.Copy(c, c)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func start(t *testing.T) *Relay {
+	t.Helper()
+	r, err := Listen("127.0.0.1", echo(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	return r
+}
+
+func dial(t *testing.T, r *Relay) net.Conn {
+	t.Helper()
+	c, err := net.DialTimeout("tcp", r.Addr(), limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// ask sends a line and gives what comes back within d.
+func ask(c net.Conn, line string, d time.Duration) (string, error) {
+	if _, err := io.WriteString(c, line+"\n"); err != nil {
+		return "", err
+	}
+	return hear(c, d)
+}
+
+func hear(c net.Conn, d time.Duration) (string, error) {
+	c.SetReadDeadline(time.Now().Add(d))
+	s, err := bufio.NewReader(c).ReadString('\n')
+	return strings.TrimSuffix(s, "\n"), err
+}
+
+func put(t *testing.T, r *Relay, e *Effect) *Effect {
+	t.Helper()
+	if err := r.Add(e); err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+func take(t *testing.T, r *Relay, e *Effect) {
+	t.Helper()
+	if err := r.Remove(e); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func want(t *testing.T, c net.Conn, line string) {
+	t.Helper()
+	if got, err := ask(c, line, limit); err != nil || got != line {
+		t.Fatalf("got %q, %v, want %q", got, err, line)
+	}
+}
+
+// While a link is silent either way nothing comes through and no connection comes up. Afterwards what was
+// written arrives, once.
+func TestSilence(t *testing.T) {
+	for _, e := range []*Effect{{Silent: true, There: true}, {Silent: true, Back: true}, {Silent: true, There: true, Back: true}} {
+		r := start(t)
+		c := dial(t, r)
+		want(t, c, "before")
+		put(t, r, e)
+		if got, err := ask(c, "during", 50*time.Millisecond); err == nil {
+			t.Errorf("%+v: heard %q", e, got)
+		}
+		if c, err := net.DialTimeout("tcp", r.Addr(), 100*time.Millisecond); err == nil {
+			c.Close()
+			t.Errorf("%+v: a connection came up", e)
+		}
+		take(t, r, e)
+		if got, err := hear(c, limit); err != nil || got != "during" {
+			t.Errorf("%+v: after it %q, %v", e, got, err)
+		}
+		want(t, dial(t, r), "new")
+	}
+}
+
+// A silence within another lasts as long as either, and a refusal ends when its own time does.
+func TestOverlap(t *testing.T) {
+	r := start(t)
+	c := dial(t, r)
+	first, second := put(t, r, &Effect{Silent: true, There: true}), put(t, r, &Effect{Silent: true, There: true})
+	refuse := put(t, r, &Effect{Refuse: true})
+	take(t, r, first)
+	if got, err := ask(c, "held", 50*time.Millisecond); err == nil {
+		t.Errorf("heard %q in the second silence", got)
+	}
+	take(t, r, second)
+	if got, err := hear(c, limit); err != nil || got != "held" {
+		t.Errorf("after both silences %q, %v", got, err)
+	}
+	if _, err := net.DialTimeout("tcp", r.Addr(), limit); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("while it refuses: %v", err)
+	}
+	take(t, r, refuse)
+	want(t, dial(t, r), "open again")
+	take(t, r, refuse) // twice is none too many
+}
+
+func TestReset(t *testing.T) {
+	r := start(t)
+	c := dial(t, r)
+	want(t, c, "before")
+	r.Reset()
+	if _, err := hear(c, limit); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection ended with %v", err)
+	}
+	want(t, dial(t, r), "after")
+}
+
+// Delays add up, each way that is hit; a rate holds bytes back.
+func TestDelayAndRate(t *testing.T) {
+	r := start(t)
+	c := dial(t, r)
+	put(t, r, &Effect{Delay: 30 * time.Millisecond, There: true})
+	put(t, r, &Effect{Delay: 20 * time.Millisecond, There: true, Back: true})
+	began := time.Now()
+	want(t, c, "delayed")
+	if took := time.Since(began); took < 70*time.Millisecond {
+		t.Errorf("%v there and back, want 70ms or more", took)
+	}
+	put(t, r, &Effect{Rate: 1000, Back: true})
+	began = time.Now()
+	want(t, c, strings.Repeat("x", 100))
+	if took := time.Since(began); took < 150*time.Millisecond {
+		t.Errorf("101 bytes took %v at 1000 bytes/s", took)
+	}
+}
--- /dev/null
+++ b/internal/lab/scenario/scenario.go
@@ -0,0 +1,188 @@
+// Package scenario is the lab's file format: a site, its load, a timetable of faults and what must hold. A
+// Scenario that Parse returns is complete and within its ranges.
+package scenario
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Duration is a time.Duration written as text with its unit, as "250ms" or "1m30s".
+type Duration time.Duration
+
+// UnmarshalText reads text such as "250ms".
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is no time with a unit, such as \"250ms\"", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// MarshalText writes what UnmarshalText reads.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+func (d Duration) String() string { return time.Duration(d).String() }
+
+// D is the duration in the standard library's type.
+func (d Duration) D() time.Duration { return time.Duration(d) }
+
+// Scenario is one file.
+type Scenario struct {
+	Name      string    `toml:"name"`
+	Duration  Duration  `toml:"duration"` // of the load; what is under way then is waited for
+	Nodes     int       `toml:"nodes"`    // at the front, spread evenly over the zones
+	Zones     []Zone    `toml:"zone"`
+	Tiers     []Tier    `toml:"tier"`
+	Classes   []Class   `toml:"class"`
+	Load      Load      `toml:"load"`
+	Clients   Clients   `toml:"clients"`
+	Discovery Discovery `toml:"discovery"`
+	Net       Net       `toml:"net"`
+	Limits    Limits    `toml:"limits"`
+	Faults    []Fault   `toml:"fault"`
+	Expect    Expect    `toml:"expect"`
+}
+
+// Zone is a place that fails as one.
+type Zone struct {
+	Name   string `toml:"name"`
+	Region string `toml:"region"`
+}
+
+// Tier is a set of servers that serve one kind of call.
+type Tier struct {
+	Name     string    `toml:"name"`
+	Servers  int       `toml:"servers"`
+	Work     float64   `toml:"work"`      // share of a class's work that one call here does
+	Calls    []float64 `toml:"calls"`     // calls of the next tier for each request, least and most of the mean
+	RackSize int       `toml:"rack_size"` // servers that share the memory of keyed requests
+	Kinds    []Kind    `toml:"kind"`
+}
+
+// Kind is a make of server.
+type Kind struct {
+	Name        string     `toml:"name"`
+	Share       float64    `toml:"share"` // of the tier's servers, against the other kinds'
+	Cores       int        `toml:"cores"`
+	Speed       []float64  `toml:"speed"`          // of a core against the yardstick, least and most
+	Slots       int        `toml:"slots_per_core"` // requests in work at once
+	Queue       int        `toml:"queue_per_core"` // and waiting; beyond that it turns away
+	ErrorRate   float64    `toml:"error_rate"`
+	StopsWork   bool       `toml:"stops_work"` // a cancel also stops running work
+	ColdFrom    float64    `toml:"cold_from"`  // share of its capacity at the start
+	ColdFor     []Duration `toml:"cold_for"`   // until it has all, least and most
+	Connections int        `toml:"connections"`
+	Handshake   Duration   `toml:"handshake"` // work that a new connection costs
+	Choke       Choke      `toml:"choke"`
+}
+
+// Choke is how an overloaded server turns slow and recovers. At 0 it does not.
+type Choke struct {
+	At     float64  `toml:"at"` // requests for each core
+	After  Duration `toml:"after"`
+	Slower float64  `toml:"slower"`
+	Below  float64  `toml:"below"` // requests for each core that count as idle
+	Rest   Duration `toml:"rest"`
+	Most   Duration `toml:"most"`
+}
+
+// Class is a class of requests.
+type Class struct {
+	Name     string     `toml:"name"`
+	Share    float64    `toml:"share"`
+	Work     []Duration `toml:"work"` // mean on a yardstick core, least and most
+	Aim      Duration   `toml:"aim"`
+	Deadline Duration   `toml:"deadline"`
+	Worth    float64    `toml:"worth"`
+	Effect   string     `toml:"effect"` // safe, keyed, unsafe
+	Scope    string     `toml:"scope"`  // cell, zone, all
+	Window   Duration   `toml:"window"`
+}
+
+// Load is what clients ask for.
+type Load struct {
+	Rate  float64 `toml:"rate"`  // requests a second
+	Swing float64 `toml:"swing"` // share by which the rate rises and falls over the run
+}
+
+// Clients is how they behave.
+type Clients struct {
+	Retries    int      `toml:"retries"`
+	Backoff    Duration `toml:"backoff"`
+	TryShare   float64  `toml:"try_share"` // of the deadline after which a try is given up
+	Impatient  float64  `toml:"impatient"` // share that leaves early
+	Honour     float64  `toml:"honour"`    // share that follows Retry-After
+	MarksRetry bool     `toml:"marks_retry"`
+}
+
+// Discovery is how news of servers comes.
+type Discovery struct {
+	Delay  []Duration `toml:"delay"`  // from a change to what the agents hold, least and most
+	Notice Duration   `toml:"notice"` // until the death of a server is known
+	Front  Duration   `toml:"front_notice"`
+}
+
+// Net is the time messages take; on the real clock the machine adds its own.
+type Net struct {
+	Same  Duration `toml:"same_zone"`
+	Cross Duration `toml:"cross_zone"`
+}
+
+// Limits is what nodes may do and have.
+type Limits struct {
+	MaxAttempts   int      `toml:"max_attempts"`
+	SecondCopies  bool     `toml:"second_copies"`
+	Cancel        bool     `toml:"cancel"`
+	RetryAfter    Duration `toml:"max_retry_after"`
+	Connect       Duration `toml:"connect_timeout"`
+	Idle          Duration `toml:"idle"`
+	DrainWithin   Duration `toml:"drain_within"`
+	Slack         Duration `toml:"slack"` // on every limit in time
+	FallMultiple  float64  `toml:"fall_multiple"`
+	FallFor       Duration `toml:"fall_for"`
+	MemoryMB      int      `toml:"memory_mb"`
+	Sockets       int      `toml:"sockets"`
+	PassTimeLeft  bool     `toml:"passes_time_left"`
+	StartUpWithin Duration `toml:"start_within"`
+}
+
+// Fault is something that goes wrong for a while.
+type Fault struct {
+	Kind      string   `toml:"kind"`
+	At        Duration `toml:"at"`
+	For       Duration `toml:"for"`
+	Every     Duration `toml:"every"`  // when repeated
+	Repeat    int      `toml:"repeat"` // times; 0: once
+	Names     []string `toml:"names"`  // nodes or servers by name
+	Tier      string   `toml:"tier"`
+	Zone      string   `toml:"zone"`
+	Count     int      `toml:"count"` // so many of those selected, drawn by the seed
+	Share     float64  `toml:"share"` // or such a share
+	Factor    float64  `toml:"factor"`
+	Delay     Duration `toml:"delay"`
+	Jitter    Duration `toml:"jitter"`
+	Rate      int      `toml:"bytes_per_s"`
+	Direction string   `toml:"direction"` // there, back; else both
+	From      []string `toml:"from"`      // nodes whose links are hit; none: all
+	Class     string   `toml:"class"`
+}
+
+// Expect is what must hold for a run to be in order. Absent limits are not looked at.
+type Expect struct {
+	Served      float64            `toml:"served_share"` // at least
+	Worth       float64            `toml:"worth_share"`  // at least
+	Class       map[string]float64 `toml:"class_served"` // at least, by class
+	P99         Duration           `toml:"p99"`          // of what is served, at most
+	Attempts    float64            `toml:"attempts_per_request"`
+	RulesBroken int                `toml:"rules_broken"` // at most
+	TailServed  float64            `toml:"tail_served"`  // share served in the last quarter, at least
+}
+
+// Shorten sets another duration and leaves out the faults that it does not reach.
+func (s *Scenario) Shorten(d time.Duration) {
+	s.Duration = Duration(d)
+	s.Faults = slices.DeleteFunc(s.Faults, func(f Fault) bool { return f.At > s.Duration })
+}
--- /dev/null
+++ b/internal/lab/scenario/site.go
@@ -0,0 +1,144 @@
+package scenario
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Rand is a source of randomness for one purpose, the same for the same seed wherever else is drawn.
+func Rand(seed uint64, purpose string) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, xxhash.Sum64String(purpose)))
+}
+
+// In draws a value between the least and the most.
+func In[T float64 | Duration](r *rand.Rand, span []T) T {
+	return span[0] + T(r.Float64()*float64(span[1]-span[0]))
+}
+
+// Server is a server of the site as one seed makes it.
+type Server struct {
+	Name     string
+	Tier     int
+	Kind     *Kind
+	Zone     int
+	Rack     int
+	Speed    float64
+	ColdFor  time.Duration
+	Capacity float64 // cores times speed
+}
+
+// Node is a node: at the front, or beside the server that calls through it.
+type Node struct {
+	Name  string
+	Tier  int // that it sends to
+	Zone  int
+	Index int // among the nodes of its tier
+	Owner int // the server it stands beside; -1: at the front
+}
+
+// Site is a scenario as one seed makes it.
+type Site struct {
+	*Scenario
+	Seed    uint64
+	Servers []Server
+	Nodes   []Node
+	Work    []time.Duration // mean work of each class
+	Calls   []float64       // mean calls that each tier makes of the next, for each request
+}
+
+// NewSite draws all that the file gives as ranges.
+func NewSite(s *Scenario, seed uint64) *Site {
+	r := Rand(seed, "site")
+	site := &Site{Scenario: s, Seed: seed}
+	for _, c := range s.Classes {
+		site.Work = append(site.Work, In(r, c.Work).D())
+	}
+	for i := range s.Nodes {
+		site.Nodes = append(site.Nodes, Node{Name: nodeName(0, i), Zone: i % len(s.Zones), Index: i, Owner: -1})
+	}
+	rack := 0
+	for t := range s.Tiers {
+		tier := &s.Tiers[t]
+		site.Calls = append(site.Calls, In(r, tier.Calls))
+		for i, k := range tier.spread() {
+			sv := Server{Name: serverName(tier.Name, i), Tier: t, Kind: k, Zone: i % len(s.Zones),
+				Rack: rack + i/(tier.RackSize*len(s.Zones))*len(s.Zones) + i%len(s.Zones), Speed: In(r, k.Speed), ColdFor: In(r, k.ColdFor).D()}
+			sv.Capacity = sv.Speed * float64(k.Cores)
+			if t+1 < len(s.Tiers) && tier.Calls[1] > 0 {
+				site.Nodes = append(site.Nodes, Node{Name: nodeName(t+1, i), Tier: t + 1, Zone: sv.Zone, Index: i, Owner: len(site.Servers)})
+			}
+			site.Servers = append(site.Servers, sv)
+		}
+		rack += tier.Servers + len(s.Zones)
+	}
+	return site
+}
+
+// spread gives each server of a tier its kind, by the kinds' shares and evenly along it.
+func (t *Tier) spread() []*Kind {
+	sum := 0.0
+	for _, k := range t.Kinds {
+		sum += k.Share
+	}
+	owed := make([]float64, len(t.Kinds))
+	l := make([]*Kind, t.Servers)
+	for i := range l {
+		next := 0
+		for j, k := range t.Kinds {
+			owed[j] += k.Share / sum
+			if owed[j] > owed[next]+1e-9 {
+				next = j
+			}
+		}
+		owed[next]--
+		l[i] = &t.Kinds[next]
+	}
+	return l
+}
+
+func nodeName(tier, i int) string {
+	if tier == 0 {
+		return fmt.Sprintf("n%d", i)
+	}
+	return fmt.Sprintf("n%d-%d", tier, i)
+}
+
+func serverName(tier string, i int) string { return fmt.Sprintf("%s-%d", tier, i) }
+
+func (s *Scenario) hasNode(name string) bool {
+	for i := range s.Nodes {
+		if nodeName(0, i) == name {
+			return true
+		}
+	}
+	for t := 1; t < len(s.Tiers); t++ {
+		for i := range s.Tiers[t-1].Servers {
+			if nodeName(t, i) == name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (s *Scenario) hasServer(name string) bool {
+	for _, t := range s.Tiers {
+		for i := range t.Servers {
+			if serverName(t.Name, i) == name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
+// Size is the server's capacity as discovery tells it: about the true one.
+func (s *Server) Size() float64 { return math.Round(s.Capacity*10) / 10 }
--- /dev/null
+++ b/internal/lab/wrong_test.go
@@ -0,0 +1,147 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+func signalContext() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM)
+}
+
+// wrongTarget is a server as the wrong node knows it.
+type wrongTarget struct {
+	UID, Endpoint, State string
+	BootMS               float64 `json:"boot_ms"`
+}
+
+// wrongServer is a small node that breaks one rule, by its mode.
+type wrongServer struct {
+	mode    string
+	mu      sync.Mutex
+	targets []wrongTarget
+	next    atomic.Int64
+}
+
+// wrongNode is the program of a node that breaks one rule.
+func wrongNode(mode string) {
+	text, err := os.ReadFile(os.Getenv("ROUTER_CONFIG"))
+	if err != nil {
+		panic(err)
+	}
+	var cfg struct {
+		Listen, Discovery string
+		Known             struct{ Targets []wrongTarget }
+	}
+	if err := json.Unmarshal(text, &cfg); err != nil {
+		panic(err)
+	}
+	s := &wrongServer{mode: mode, targets: cfg.Known.Targets}
+	if mode != "deaf" {
+		go s.follow(cfg.Discovery)
+	}
+	panic(http.ListenAndServe(cfg.Listen, s))
+}
+
+// follow asks for the list every now and then.
+func (s *wrongServer) follow(addr string) {
+	for ; ; time.Sleep(20 * time.Millisecond) {
+		resp, err := http.Get("http://" + addr + "/registry/instances")
+		if err != nil {
+			continue
+		}
+		var l struct{ Targets []wrongTarget }
+		if json.NewDecoder(resp.Body).Decode(&l) == nil {
+			s.mu.Lock()
+			s.targets = l.Targets
+			s.mu.Unlock()
+		}
+		resp.Body.Close()
+	}
+}
+
+// pick takes the serving servers in turn; a crowd takes the one that started last.
+func (s *wrongServer) pick() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var l []wrongTarget
+	for _, t := range s.targets {
+		if t.State == "SERVING" {
+			l = append(l, t)
+		}
+		if s.mode == "crowd" && t.BootMS > 0 {
+			return t.Endpoint
+		}
+	}
+	if len(l) == 0 {
+		return "127.0.0.1:1"
+	}
+	return l[int(s.next.Add(1))%len(l)].Endpoint
+}
+
+func (s *wrongServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/health/ready" {
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	send := func(path, id string) (int, string) {
+		req, err := http.NewRequest(r.Method, "http://"+s.pick()+path, strings.NewReader(string(body)))
+		if err != nil {
+			return 502, ""
+		}
+		req.Header = r.Header.Clone()
+		req.Header.Set("X-Correlation-Id", id)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return 502, ""
+		}
+		defer resp.Body.Close()
+		b, _ := io.ReadAll(resp.Body) // half an answer is the test's own business
+		return resp.StatusCode, string(b)
+	}
+	path, id := r.URL.RequestURI(), r.Header.Get("X-Correlation-Id")
+	class := strings.Split(path, "/")[1]
+	switch {
+	case s.mode == "silent":
+		<-r.Context().Done()
+		return
+	case s.mode == "hang-up":
+		panic(http.ErrAbortHandler)
+	case s.mode == "die" && s.next.Add(1) > 10:
+		os.Exit(7)
+	case s.mode == "twice" && class == "pay", s.mode == "elsewhere" && class == "apply":
+		send(path, id)
+	case s.mode == "many" && class == "read":
+		for range 7 {
+			send(path, id)
+		}
+	case s.mode == "beside" && class == "read":
+		go send(path, id)
+	case s.mode == "promise" && class == "pay":
+		send(path, id)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case s.mode == "invent":
+		send(path, id+"-mine")
+	case s.mode == "alter" && class == "pay":
+		body = append(body, " and more"...)
+	case s.mode == "make-up":
+		io.WriteString(w, "all is well")
+		return
+	}
+	status, answer := send(path, id)
+	w.WriteHeader(status)
+	io.WriteString(w, answer)
+}
