Look for ill servers among those with calls out or an ejection, not along the whole list

Only a server with a call out, an ejection that holds or a trial that is due can be unfit, so the Balancer keeps those apart and drops them when none of it holds. The order (run of bad endings, then the shared order) is as before; a property test compares every look with one along the whole list.

Two tests that set an ejection by hand now also watch the server, as eject does.

--- a/policy.go
+++ b/policy.go
@@ -120,7 +120,7 @@
 			s = &server{}
 			b.servers[n.ID] = s
 		} else if s.Boot != n.Boot {
-			*s = server{calls: s.calls, open: s.open}
+			*s = server{calls: s.calls, open: s.open, watched: s.watched}
 		}
 		s.Server = n
 		s.listed = n.State != Gone
@@ -157,7 +157,7 @@
 	})
 	cut := int(math.Ceil(alpha * float64(len(b.ready))))
 	for i, s := range b.ready {
-		s.right = i >= cut
+		s.right, s.place = i >= cut, i
 	}
 	b.subset = b.takeSubset()
 	b.largest, b.meanSize = 0, 0
@@ -275,6 +275,7 @@
 // count counts a call as one that the tiers below work on.
 func (b *Balancer) count(a *attempt) {
 	a.srv.open = append(a.srv.open, a)
+	b.watch(a.srv)
 	b.inFlight++
 }
 
@@ -520,19 +521,46 @@
 // missed, and time-outs show load rather than ill health.
 func (b *Balancer) ruledOut(r *request) map[*server]bool {
 	out := map[*server]bool{}
-	var sick []*server
-	for _, s := range b.ready {
-		if b.unfit(s, r) {
-			sick = append(sick, s)
-		}
-	}
-	sort.SliceStable(sick, func(i, j int) bool { return sick[i].streak > sick[j].streak })
+	sick := b.sick(r)
 	for _, s := range sick[:min(len(sick), b.mostRuledOut())] {
 		out[s] = true
 	}
 	return out
 }
 
+// watch keeps a server among those that health may keep out: they have a call out or were ejected. A pick
+// looks at these alone; over a list of thousands all the rest of it would cost less than one look at each.
+func (b *Balancer) watch(s *server) {
+	if !s.watched {
+		s.watched = true
+		b.watched = append(b.watched, s)
+	}
+}
+
+// sick gives the ready servers that are unfit for a request, longest run of bad endings first, then in the
+// shared order.
+func (b *Balancer) sick(r *request) []*server {
+	var sick []*server
+	kept := b.watched[:0]
+	for _, s := range b.watched {
+		if !s.listed && s.calls == 0 || len(s.open) == 0 && s.level == 0 && b.now >= s.until {
+			s.watched = false
+			continue
+		}
+		kept = append(kept, s)
+		if s.listed && s.State == Ready && b.unfit(s, r) {
+			sick = append(sick, s)
+		}
+	}
+	clear(b.watched[len(kept):])
+	b.watched = kept
+	sort.Slice(sick, func(i, j int) bool {
+		x, y := sick[i], sick[j]
+		return x.streak > y.streak || x.streak == y.streak && x.place < y.place
+	})
+	return sick
+}
+
 // mostRuledOut is the most servers that health may keep out now: of a short list one, if that leaves a
 // choice and less than half is shed, as a share rounded down keeps a server that fails at once in for good.
 func (b *Balancer) mostRuledOut() int {
@@ -710,6 +738,7 @@
 	if b.now < s.until {
 		return
 	}
+	b.watch(s)
 	s.until = b.now + time.Duration(ejection*c.mean)<<s.level
 	s.level = min(s.level+1, maxLevel)
 }
--- a/policy_test.go
+++ b/policy_test.go
@@ -4,9 +4,13 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
+	"sort"
 	"strings"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 const msec = time.Millisecond
@@ -233,6 +237,7 @@
 	b.Handle(0, ServerList{Full: true, Servers: servers(10)})
 	s := b.servers["s03"]
 	s.level, s.until = 1, 0
+	b.watch(s)
 	if got := traffic(b, 400, "pay", func(string) Ending { return Success }); got["s03"] != 0 {
 		t.Errorf("a server on trial got %d unsafe requests", got["s03"])
 	}
@@ -652,6 +657,7 @@
 		b.Handle(msec, ServerList{Full: true, Servers: servers(20)})
 		for _, s := range b.ready[:10] {
 			s.until = time.Minute
+			b.watch(s)
 		}
 		b.shed = c.shed
 		out := len(b.ruledOut(&request{class: b.classes["get"]}))
@@ -933,3 +939,98 @@
 		}
 	}
 }
+
+// The servers that a pick looks at for their health are all that a look at the whole list would find, in the same
+// order, whatever has happened; and none stays among them for nothing.
+func TestWatchedMissesNobody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, err := New(testSettings(), rapid.Uint64().Draw(t, "seed"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		list := servers(rapid.IntRange(1, 12).Draw(t, "servers"))
+		b.Handle(0, ServerList{Full: true, Servers: list})
+		type call struct {
+			id string
+			Send
+			n int
+		}
+		var out []call
+		now := time.Duration(0)
+		for i := range rapid.IntRange(1, 120).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(1, 200).Draw(t, "gap")) * msec
+			var did []Action
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0, 1, 2:
+				class := rapid.SampledFrom([]string{"get", "post", "pay"}).Draw(t, "class")
+				did = b.Handle(now, Request{ID: fmt.Sprint(i), Class: class, Deadline: now + 1500*msec})
+			case 3, 4:
+				if len(out) == 0 {
+					continue
+				}
+				k := rapid.IntRange(0, len(out)-1).Draw(t, "which")
+				c := out[k]
+				out = append(out[:k:k], out[k+1:]...)
+				e := rapid.SampledFrom([]Ending{Success, Failure, TimedOut, Broken, Overloaded}).Draw(t, "ending")
+				did = b.Handle(now, Outcome{ID: c.id, Attempt: c.n, Server: c.Server, Ending: e, Ended: e == Success})
+			case 5:
+				k := rapid.IntRange(0, len(list)-1).Draw(t, "server")
+				list[k].State = ServerState(rapid.IntRange(0, 2).Draw(t, "state"))
+				list[k].Boot += time.Duration(rapid.IntRange(0, 1).Draw(t, "boot"))
+				did = b.Handle(now, ServerList{Servers: list[k : k+1]})
+			}
+			for _, a := range did {
+				if s, is := a.(Send); is {
+					out = append(out, call{s.ID, s, len(b.requests[s.ID].attempts) - 1})
+				}
+			}
+			for _, class := range []string{"get", "pay"} {
+				r := &request{class: b.classes[class]}
+				var want []*server
+				for _, s := range b.ready {
+					if b.unfit(s, r) {
+						want = append(want, s)
+					}
+				}
+				sort.SliceStable(want, func(i, j int) bool { return want[i].streak > want[j].streak })
+				if got := b.sick(r); !slices.Equal(got, want) {
+					t.Fatalf("%s: %d found of %d", class, len(got), len(want))
+				}
+			}
+			for _, s := range b.watched {
+				if s.calls == 0 && s.level == 0 && now >= s.until {
+					t.Fatalf("%s is watched for nothing", s.ID)
+				}
+			}
+		}
+	})
+}
+
+// How the cost of a request, and of one server's news, grows with the list.
+func BenchmarkList(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 10_000} {
+		start := func() *Balancer {
+			bal := newBalancer(b, func(s *Settings) { s.Balancers = max(2, n/10) })
+			bal.Handle(0, ServerList{Full: true, Servers: servers(n)})
+			return bal
+		}
+		b.Run(fmt.Sprintf("request/%d", n), func(b *testing.B) {
+			bal, now := start(), time.Duration(0)
+			for i := 0; b.Loop(); i++ {
+				now += msec
+				id := fmt.Sprint(i)
+				for _, s := range sends(bal.Handle(now, Request{ID: id, Class: "get", Deadline: now + time.Minute})) {
+					settle(bal, now, id, s, Success)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("news/%d", n), func(b *testing.B) {
+			bal, now, list := start(), time.Duration(0), servers(n)
+			for i := 0; b.Loop(); i++ {
+				now += msec
+				list[0].State = ServerState(i % 2)
+				bal.Handle(now, ServerList{Servers: list[:1]})
+			}
+		})
+	}
+}
--- a/state.go
+++ b/state.go
@@ -19,6 +19,7 @@
 	largest  float64   // size in the subset
 	meanSize float64   // of the subset
 	subset   []*server // those of them that this copy's first attempts are drawn from, in that order
+	watched  []*server // whoever health may keep out; see watch
 	requests map[string]*request
 	held     []*request
 	classes  map[string]*class
@@ -104,6 +105,7 @@
 	Server
 	listed bool
 	right  bool       // of the two groups
+	place  int        // in the shared order
 	calls  int        // own calls in flight
 	open   []*attempt // the same calls in order of sending
 
@@ -117,6 +119,7 @@
 	room     int           // own calls that it had taken when it refused one more
 	full     time.Duration // no more than room until then
 	refusals int           // in a row
+	watched  bool          // it is among the Balancer's watched
 }
 
 // request is an accepted request, kept until it is answered and its attempts have ended.
