Merge news of servers into the shared order instead of sorting the whole list anew

Cause: arrange rebuilt the order from a map and sorted it for every change (policy.go, arrange): 3.5 ms of a node's one core for each piece of news of a list of 10,000. Only the servers that the news names can change their place, so those are taken out, sorted and merged; a whole list or new settings sort all as before. The property test of the watched servers now also holds the order, and that every ready server stands in it once.

--- a/policy.go
+++ b/policy.go
@@ -7,8 +7,10 @@
 package hollyspur
 
 import (
+	"cmp"
+	"maps"
 	"math"
-	"sort"
+	"slices"
 	"time"
 )
 
@@ -114,6 +116,7 @@
 			s.listed = false
 		}
 	}
+	var news []*server
 	for _, n := range e.Servers {
 		s := b.servers[n.ID]
 		if s == nil {
@@ -124,8 +127,12 @@
 		}
 		s.Server = n
 		s.listed = n.State != Gone
+		news = append(news, s)
 	}
-	b.arrange()
+	if e.Full {
+		news = nil
+	}
+	b.arrange(news)
 	if b.window == 0 {
 		b.window = windowStart * b.fairServers()
 	}
@@ -137,24 +144,31 @@
 	b.release()
 }
 
-// arrange puts the ready servers in order, cuts the groups and takes this copy's subset.
-func (b *Balancer) arrange() {
-	b.ready = b.ready[:0]
-	for id, s := range b.servers {
+// arrange puts the ready servers in order, cuts the groups and takes this copy's subset. news are the servers
+// that may have changed; nil: all.
+func (b *Balancer) arrange(news []*server) {
+	if news == nil {
+		b.ready = b.ready[:0]
+		news = slices.Collect(maps.Values(b.servers))
+	}
+	for _, s := range news {
+		s.moving = true
+	}
+	stay := slices.DeleteFunc(b.ready, func(s *server) bool { return s.moving })
+	var in []*server
+	for _, s := range news {
+		if !s.moving {
+			continue // named twice
+		}
+		s.moving = false
 		if !s.listed && s.calls == 0 {
-			delete(b.servers, id)
+			delete(b.servers, s.ID)
 		} else if s.listed && s.State == Ready {
-			b.ready = append(b.ready, s)
+			in = append(in, s)
 		}
 	}
-	// The shared order: every copy sorts by id, which all see alike.
-	sort.Slice(b.ready, func(i, j int) bool {
-		x, y := b.ready[i], b.ready[j]
-		if b.size(x) != b.size(y) {
-			return b.size(x) > b.size(y) // a subset of each size, and ties go to the larger
-		}
-		return x.Cell < y.Cell || x.Cell == y.Cell && x.ID < y.ID
-	})
+	slices.SortFunc(in, b.before)
+	b.ready = b.merge(stay, in)
 	cut := int(math.Ceil(alpha * float64(len(b.ready))))
 	for i, s := range b.ready {
 		s.right, s.place = i >= cut, i
@@ -167,6 +181,27 @@
 	}
 }
 
+// before is the shared order: every copy sorts by what all see alike.
+func (b *Balancer) before(x, y *server) int {
+	return cmp.Or(cmp.Compare(b.size(y), b.size(x)), // a subset of each size, and ties go to the larger
+		cmp.Compare(x.Cell, y.Cell), cmp.Compare(x.ID, y.ID))
+}
+
+// merge puts servers in order at their places among those that stay.
+func (b *Balancer) merge(stay, in []*server) []*server {
+	l := append(stay, in...)
+	for i, j, k := len(stay)-1, len(in)-1, len(l)-1; j >= 0; k-- {
+		if i >= 0 && b.before(stay[i], in[j]) > 0 {
+			l[k] = stay[i]
+			i--
+		} else {
+			l[k] = in[j]
+			j--
+		}
+	}
+	return l
+}
+
 // takeSubset keeps a copy to a few servers, evenly from along the shared order, so that all
 // servers are drawn from by equally many copies. Hundreds of copies over the whole list know nothing:
 // their own counts are zero, a sick server is met once a minute, and connections fill its table.
@@ -554,9 +589,8 @@
 	}
 	clear(b.watched[len(kept):])
 	b.watched = kept
-	sort.Slice(sick, func(i, j int) bool {
-		x, y := sick[i], sick[j]
-		return x.streak > y.streak || x.streak == y.streak && x.place < y.place
+	slices.SortFunc(sick, func(x, y *server) int {
+		return cmp.Or(cmp.Compare(y.streak, x.streak), cmp.Compare(x.place, y.place))
 	})
 	return sick
 }
--- a/policy_test.go
+++ b/policy_test.go
@@ -941,7 +941,7 @@
 }
 
 // The servers that a pick looks at for their health are all that a look at the whole list would find, in the same
-// order, whatever has happened; and none stays among them for nothing.
+// order, and the ready ones are in the shared order, each once, whatever has happened; and none stays among them for nothing.
 func TestWatchedMissesNobody(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b, err := New(testSettings(), rapid.Uint64().Draw(t, "seed"))
@@ -997,6 +997,10 @@
 					t.Fatalf("%s: %d found of %d", class, len(got), len(want))
 				}
 			}
+			inOrder := slices.IsSortedFunc(b.ready, func(x, y *server) int { return min(1, 2*b.before(x, y)+1) })
+			if ready := readyByScan(b); !inOrder || len(ready) != len(b.ready) {
+				t.Fatalf("%d servers in order (%v), %d are ready", len(b.ready), inOrder, len(ready))
+			}
 			for _, s := range b.watched {
 				if s.calls == 0 && s.level == 0 && now >= s.until {
 					t.Fatalf("%s is watched for nothing", s.ID)
@@ -1006,6 +1010,17 @@
 	})
 }
 
+// readyByScan finds the ready servers among all that are known.
+func readyByScan(b *Balancer) map[string]bool {
+	ready := map[string]bool{}
+	for id, s := range b.servers {
+		if s.listed && s.State == Ready {
+			ready[id] = true
+		}
+	}
+	return ready
+}
+
 // How the cost of a request, and of one server's news, grows with the list.
 func BenchmarkList(b *testing.B) {
 	for _, n := range []int{10, 100, 1000, 10_000} {
--- a/state.go
+++ b/state.go
@@ -87,7 +87,7 @@
 			k.Class = c
 		}
 	}
-	b.arrange()
+	b.arrange(nil)
 	b.release()
 }
 
@@ -120,6 +120,7 @@
 	full     time.Duration // no more than room until then
 	refusals int           // in a row
 	watched  bool          // it is among the Balancer's watched
+	moving   bool          // its place in the order is to be found anew
 }
 
 // request is an accepted request, kept until it is answered and its attempts have ended.
