Play a thousand nodes and ten thousand servers on the virtual clock

Need: a simulated minute of 20,000 requests/s before 10,000 servers in under 3 minutes on 4 cores. Nodes of a tier now take their first list side by side, hold what is barred instead of what is listed, and agents pass changes on at their turns, as discovery does, instead of one by one.

--- a/internal/lab/model/directory.go
+++ b/internal/lab/model/directory.go
@@ -32,10 +32,11 @@
 // agent is what one node's discovery holds.
 type agent struct {
 	rev   int64
-	stale time.Duration    // added to what comes
-	mask  func(Entry) bool // what a fault hides; nil: nothing
-	back  int64            // a fault shows an older revision, this one; 0: no
-	said  int64            // added to revisions after a whole list that a fault made
+	stale time.Duration           // added to what comes
+	mask  func(Entry) bool        // what a fault hides; nil: nothing
+	back  int64                   // a fault shows an older revision, this one; 0: no
+	due   map[time.Duration]int64 // revisions to come, by when
+	said  int64                   // added to revisions after a whole list that a fault made
 }
 
 func newDirectory(w *World) *Directory {
@@ -54,11 +55,29 @@
 		if d.w.Site.Nodes[n].Tier != d.w.Site.Servers[server].Tier {
 			continue
 		}
-		wait := base + time.Duration(r.Float64()*spread) + d.agents[n].stale
-		d.w.Loop.After(wait, func() { d.deliver(n, rev) })
+		d.plan(n, rev, base+time.Duration(r.Float64()*spread)+d.agents[n].stale)
 	}
 }
 
+// plan lets an agent pass a revision on at the first of its turns after a wait, with all that comes by then.
+func (d *Directory) plan(n int, rev int64, wait time.Duration) {
+	a, period := &d.agents[n], d.w.Site.Discovery.Period.D()
+	at := (d.w.Loop.Now() + wait + period - 1) / period * period
+	if a.due == nil {
+		a.due = map[time.Duration]int64{}
+	}
+	if was, planned := a.due[at]; planned {
+		a.due[at] = max(was, rev)
+		return
+	}
+	a.due[at] = rev
+	d.w.Loop.At(at, func() {
+		rev := a.due[at]
+		delete(a.due, at)
+		d.deliver(n, rev)
+	})
+}
+
 // deliver brings an agent up to a revision.
 func (d *Directory) deliver(n int, rev int64) {
 	a := &d.agents[n]
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -12,7 +12,7 @@
 		Duration:  Duration(20 * time.Second),
 		Nodes:     2,
 		Clients:   Clients{Retries: 2, Backoff: Duration(200 * time.Millisecond), TryShare: 0.55, Impatient: 0.03, Honour: 0.2, MarksRetry: true},
-		Discovery: Discovery{Delay: []Duration{Duration(300 * time.Millisecond), Duration(1500 * time.Millisecond)}, Notice: Duration(4 * time.Second), Front: Duration(2 * time.Second)},
+		Discovery: Discovery{Delay: []Duration{Duration(300 * time.Millisecond), Duration(1500 * time.Millisecond)}, Period: Duration(200 * time.Millisecond), Notice: Duration(4 * time.Second), Front: Duration(2 * time.Second)},
 		Net:       Net{Same: Duration(200 * time.Microsecond), Cross: Duration(2 * time.Millisecond)},
 		Limits: Limits{MaxAttempts: 6, SecondCopies: true, Cancel: true, RetryAfter: Duration(2 * time.Second),
 			Connect: Duration(250 * time.Millisecond), Idle: Duration(30 * time.Second), DrainWithin: Duration(500 * time.Millisecond),
@@ -145,6 +145,7 @@
 	c.share("clients.impatient", s.Clients.Impatient)
 	c.share("clients.honour", s.Clients.Honour)
 	span(c, "discovery.delay", s.Discovery.Delay, 0)
+	c.must(s.Discovery.Period > 0, "discovery.period", "is not above 0")
 	c.must(s.Discovery.Notice >= 0, "discovery.notice", "is negative")
 	c.must(s.Discovery.Front >= 0, "discovery.front_notice", "is negative")
 	c.must(s.Net.Same >= 0, "net.same_zone", "is negative")
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -121,6 +121,7 @@
 // Discovery is how news of servers comes.
 type Discovery struct {
 	Delay  []Duration `toml:"delay"`  // from a change to what the agents hold, least and most
+	Period Duration   `toml:"period"` // agents pass on what they have heard so often
 	Notice Duration   `toml:"notice"` // until the death of a server is known
 	Front  Duration   `toml:"front_notice"`
 }
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -6,10 +6,13 @@
 import (
 	"cmp"
 	"maps"
+	"runtime"
 	"slices"
 	"strconv"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"hollyspur"
 	"hollyspur/internal/lab/model"
 	"hollyspur/internal/lab/sim"
@@ -55,8 +58,7 @@
 	nextID  uint64
 	calls   map[string]*call
 	idle    map[int][]time.Duration // connections to each server, by when they were last used
-	rev     int64
-	usable  map[int]bool
+	barred  map[int]bool            // servers that are not to be sent to by the list
 }
 
 // call is a request that the node has taken.
@@ -96,10 +98,35 @@
 	return f
 }
 
-// StartAll starts every node at once, ready to serve.
+// StartAll starts every node at once, ready to serve. The nodes of a tier hold the same list, and what a module makes of
+// it depends on nothing else, so they take it side by side; what they do then comes in their order.
 func (f *Fleet) StartAll() {
-	for _, n := range f.nodes {
-		n.start()
+	lists := map[int]hollyspur.ServerList{}
+	var work errgroup.Group
+	work.SetLimit(runtime.GOMAXPROCS(0))
+	did := make([][]hollyspur.Action, len(f.nodes))
+	for i, n := range f.nodes {
+		tier := f.w.Site.Nodes[i].Tier
+		if _, made := lists[tier]; !made {
+			lists[tier] = f.list(f.w.Directory.List(i), true)
+		}
+		if n.prepare() {
+			n.barred = map[int]bool{}
+			list := lists[tier]
+			work.Go(func() error {
+				did[i] = n.module.Handle(n.clock(), list)
+				return nil
+			})
+		}
+	}
+	work.Wait() // none fails
+	for i, n := range f.nodes {
+		for _, a := range did[i] {
+			n.carryOut(a)
+		}
+		if n.up {
+			f.ready(i)
+		}
 	}
 }
 
@@ -258,21 +285,28 @@
 }
 
 func (n *node) start() {
+	if n.prepare() {
+		n.takeList(n.f.w.Directory.List(n.index), true)
+		n.f.ready(n.index)
+	}
+}
+
+// prepare makes a process that knows nothing yet; false: there is one, by the end of another fault, or none can be made.
+func (n *node) prepare() bool {
 	if n.up {
-		return // another fault's end has started it
+		return false
 	}
 	w := n.f.w
 	seed := w.Site.Seed*1_000_003 + uint64(n.index)*7919 + uint64(n.life)
 	m, err := n.f.make(n.index, n.f.settings(n.index), seed)
 	if err != nil {
 		n.f.err = err
-		return
+		return false
 	}
 	n.module, n.up, n.paused, n.held = m, true, false, nil
 	n.life++
-	n.calls, n.idle, n.usable, n.queue = map[string]*call{}, map[int][]time.Duration{}, map[int]bool{}, nil
-	n.takeList(w.Directory.List(n.index), true)
-	n.f.ready(n.index)
+	n.calls, n.idle, n.queue = map[string]*call{}, map[int][]time.Duration{}, nil
+	return true
 }
 
 // kill ends the process: whoever waits for it hears a reset, and its attempts go on without it.
@@ -427,7 +461,7 @@
 	if s.Timeout != 0 {
 		timeout = min(timeout, s.Timeout)
 	}
-	if !known || c.finished || timeout <= 0 || !n.usable[server] || a.n >= f.w.Site.Limits.MaxAttempts {
+	if !known || c.finished || timeout <= 0 || n.barred[server] || a.n >= f.w.Site.Limits.MaxAttempts {
 		n.end(a, hollyspur.Void, false, "")
 		return
 	}
@@ -467,7 +501,7 @@
 // write puts an attempt on its connection.
 func (n *node) write(a *attempt, fresh bool) {
 	f, loop := n.f, n.f.w.Loop
-	if !n.usable[a.server] {
+	if n.barred[a.server] {
 		n.end(a, hollyspur.Unreachable, true, "")
 		return
 	}
@@ -584,24 +618,47 @@
 	model.Serving: hollyspur.Ready, model.Draining: hollyspur.Draining, model.Deleted: hollyspur.Gone,
 }
 
-func (n *node) takeList(l model.List, cached bool) {
-	n.rev = l.Rev
-	e := hollyspur.ServerList{Full: l.All, Cached: cached}
-	if l.All {
-		clear(n.usable)
-	}
+// list words a list for the module.
+func (f *Fleet) list(l model.List, cached bool) hollyspur.ServerList {
+	e := hollyspur.ServerList{Full: l.All, Cached: cached, Servers: make([]hollyspur.Server, 0, len(l.Entries))}
 	for _, t := range l.Entries {
-		sv := &n.f.w.Site.Servers[t.Server]
-		s := hollyspur.Server{ID: sv.Name, Zone: n.f.w.Site.Zones[sv.Zone].Name, Cell: sv.Rack, State: states[t.State], Size: sv.Size()}
+		sv := &f.w.Site.Servers[t.Server]
+		s := hollyspur.Server{ID: sv.Name, Zone: f.w.Site.Zones[sv.Zone].Name, Cell: sv.Rack, State: states[t.State], Size: sv.Size()}
 		if t.Boot >= 0 {
 			s.Boot = epoch + t.Boot
 		}
-		n.usable[t.Server] = t.State == model.Serving
-		if t.State != model.Serving {
-			n.f.conns[t.Server] = max(0, n.f.conns[t.Server]-len(n.idle[t.Server]))
-			delete(n.idle, t.Server)
-		}
 		e.Servers = append(e.Servers, s)
 	}
-	n.handle(e)
+	return e
+}
+
+// takeList applies news: first to what may be sent to, then to the module.
+func (n *node) takeList(l model.List, cached bool) {
+	if l.All {
+		n.barred = map[int]bool{}
+		listed := make([]bool, len(n.f.w.Servers))
+		for _, t := range l.Entries {
+			listed[t.Server] = true
+		}
+		for s, is := range listed {
+			if !is && n.f.w.Servers[s].Tier == n.f.w.Site.Nodes[n.index].Tier {
+				n.bar(s)
+			}
+		}
+	}
+	for _, t := range l.Entries {
+		if t.State == model.Serving {
+			delete(n.barred, t.Server)
+		} else {
+			n.bar(t.Server)
+		}
+	}
+	n.handle(n.f.list(l, cached))
+}
+
+// bar keeps a server from being sent to, and drops the connections to it.
+func (n *node) bar(server int) {
+	n.barred[server] = true
+	n.f.conns[server] = max(0, n.f.conns[server]-len(n.idle[server]))
+	delete(n.idle, server)
 }
