lab report draws a run, lab compare holds two ways of playing against each other

Need: figures alone do not show when a fault struck what, and one run does not show whether a change helps. report writes one page with its plots inside (served, refused, failed by class and zone with the faults marked, latency, attempts and retries, what servers and nodes hold). compare plays two scenarios, settings or node builds on the same seeds and bounds the differences by bootstrap; with under six seeds it says that they are too few. Nodes' memory and descriptors are sampled each second; over the limits is a broken rule, proven by a wrong node.

The pictures were looked at: faults as bands with names above the lines, legend beside them.

--- /dev/null
+++ b/cmd/umberbank/compare.go
@@ -0,0 +1,193 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"hollyspur/internal/lab"
+	"hollyspur/internal/lab/compare"
+	"hollyspur/internal/lab/scenario"
+)
+
+// side is one way of playing, in words: a file, keys that win over it, clock=virtual, node=COMMAND.
+type side struct {
+	words   string
+	sc      *scenario.Scenario
+	virtual bool
+	node    []string
+}
+
+func (c *labCompareCmd) side(words string) (*side, error) {
+	s := &side{words: words, virtual: c.Virtual}
+	flags, file := scenarioFlags{Duration: c.Duration}, ""
+	for _, w := range strings.Fields(words) {
+		key, value, set := strings.Cut(w, "=")
+		switch {
+		case !set:
+			file = w
+		case key == "clock" && (value == "virtual" || value == "real"):
+			s.virtual = value == "virtual"
+		case key == "clock":
+			return nil, fmt.Errorf("%q: clock is virtual or real", w)
+		case key == "node":
+			s.node = strings.Split(value, ",")
+		default:
+			flags.Set = append(flags.Set, w)
+		}
+	}
+	var err error
+	if s.sc, err = flags.load(file); err != nil {
+		return nil, err
+	}
+	if s.virtual && s.node != nil {
+		return nil, fmt.Errorf("%q: a node's command is of no use on the virtual clock", words)
+	}
+	return s, nil
+}
+
+type labCompareCmd struct {
+	A        string        `arg:"" help:"One way of playing: words for a file, keys, clock=virtual, node=COMMAND (its parts joined by commas). \"\": the default scenario."`
+	B        string        `arg:"" help:"The other."`
+	Seeds    int           `help:"How many seeds both are played on." default:"10"`
+	Seed     uint64        `help:"The first seed." default:"1"`
+	Virtual  bool          `help:"Play on the virtual clock where a side does not say."`
+	Duration time.Duration `help:"Win over the files' duration."`
+	Within   float64       `help:"Exit 1 if the mean served share of both differs by more than this." placeholder:"SHARE"`
+	JSON     bool          `help:"Print one JSON object."`
+}
+
+// Help is shown by --help.
+func (labCompareCmd) Help() string {
+	return `Both sides are played on the same seeds, with the same requests at the same times, and the differences by seed give the
+bounds (95%, bootstrap). On the machine's clock the runs come one after another, sides in turn.
+Exit codes: 0 compared, 1 further apart than --within or a rule was broken, 2 could not be run.
+
+Examples:
+  umberbank lab compare "labs/flap.toml" "labs/flap.toml limits.second_copies=false" --virtual
+  umberbank lab compare "labs/calm.toml clock=real" "labs/calm.toml clock=virtual" --within 0.05
+  umberbank lab compare "node=bin/earlier" "node=bin/cranegrade" --seeds 6`
+}
+
+// comparison is what lab compare --json prints.
+type comparison struct {
+	A, B        string
+	Seeds       int                  `json:"seeds"`
+	Invalid     int                  `json:"invalid_runs"` // played once more, or left out
+	Differences []compare.Difference `json:"differences"`
+}
+
+func (c *labCompareCmd) Run(a *app) error {
+	if c.Seeds < 1 {
+		return fmt.Errorf("--seeds: %d is below 1", c.Seeds)
+	}
+	var sides [2]*side
+	for i, words := range []string{c.A, c.B} {
+		var err error
+		if sides[i], err = c.side(words); err != nil {
+			return err
+		}
+	}
+	results, invalid, err := c.play(a, sides)
+	if err != nil {
+		return err
+	}
+	diffs, err := compare.Compare(results[0], results[1])
+	if err != nil {
+		return err
+	}
+	out := comparison{c.A, c.B, len(results[0]), invalid, diffs}
+	if c.JSON {
+		err = json.NewEncoder(a.out).Encode(out)
+	} else {
+		err = printComparison(a, out)
+	}
+	if err != nil {
+		return err
+	}
+	return c.verdict(results, diffs)
+}
+
+func (c *labCompareCmd) verdict(results [2][]*lab.Result, diffs []compare.Difference) error {
+	for _, side := range results {
+		for _, r := range side {
+			if r.RulesBroken > 0 {
+				return errNotHeld
+			}
+		}
+	}
+	if d := diffs[0].Mean; c.Within > 0 && (d > c.Within || d < -c.Within) {
+		return errNotHeld
+	}
+	return nil
+}
+
+// play plays both sides on all seeds. A seed with a run that is not valid even the second time is left out.
+func (c *labCompareCmd) play(a *app, sides [2]*side) (results [2][]*lab.Result, invalid int, err error) {
+	runs := make([][2]*lab.Result, c.Seeds)
+	virtual, ctx := errgroup.WithContext(a.ctx)
+	virtual.SetLimit(4)
+	for i := range runs {
+		for k, s := range sides {
+			opt := lab.Options{Seed: c.Seed + uint64(i), Virtual: s.virtual, Node: s.node}
+			if s.virtual {
+				virtual.Go(func() (err error) {
+					runs[i][k], err = lab.Run(ctx, s.sc, opt)
+					return err
+				})
+			}
+		}
+	}
+	if err := virtual.Wait(); err != nil {
+		return results, 0, err
+	}
+	for i := range runs {
+		for k, s := range sides {
+			opt := lab.Options{Seed: c.Seed + uint64(i), Node: s.node, Progress: progress(a.err, fmt.Sprintf("seed %d, %c", c.Seed+uint64(i), 'A'+k))}
+			for range 2 {
+				if s.virtual || runs[i][k] != nil && runs[i][k].Valid {
+					continue
+				}
+				if runs[i][k], err = lab.Run(a.ctx, s.sc, opt); err != nil {
+					return results, 0, err
+				}
+				if !runs[i][k].Valid {
+					invalid++
+				}
+			}
+		}
+		if runs[i][0].Valid && runs[i][1].Valid {
+			results[0], results[1] = append(results[0], runs[i][0]), append(results[1], runs[i][1])
+		}
+	}
+	if len(results[0]) == 0 {
+		return results, invalid, errors.New("no seed has two valid runs: this machine could not send the load in time")
+	}
+	return results, invalid, nil
+}
+
+func printComparison(a *app, c comparison) error {
+	fmt.Fprintf(a.out, "A: %s\nB: %s\n%d seeds", orDefault(c.A), orDefault(c.B), c.Seeds)
+	if c.Invalid > 0 {
+		fmt.Fprintf(a.out, ", %d runs were not valid", c.Invalid)
+	}
+	fmt.Fprintln(a.out)
+	t := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "figure\tA\tB\tB less A\t95% from\tto\tlargest\t")
+	for _, d := range c.Differences {
+		fmt.Fprintf(t, "%s\t%.4g\t%.4g\t%+.4g\t%+.4g\t%+.4g\t%.4g\t%s\n", d.Measure, d.A, d.B, d.Mean, d.Low, d.High, d.Worst, d.Verdict)
+	}
+	return t.Flush()
+}
+
+func orDefault(words string) string {
+	if words == "" {
+		return "the default scenario"
+	}
+	return words
+}
--- a/cmd/umberbank/lab.go
+++ b/cmd/umberbank/lab.go
@@ -19,8 +19,10 @@
 )
 
 type labCmd struct {
-	Run   labRunCmd   `cmd:"" help:"Play one scenario."`
-	Check labCheckCmd `cmd:"" help:"Check scenario files without playing them."`
+	Run     labRunCmd     `cmd:"" help:"Play one scenario."`
+	Compare labCompareCmd `cmd:"" help:"Play two ways on the same seeds and tell the differences."`
+	Report  labReportCmd  `cmd:"" help:"Draw a run."`
+	Check   labCheckCmd   `cmd:"" help:"Check scenario files without playing them."`
 }
 
 // scenarioFlags say what is played.
@@ -158,7 +160,7 @@
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintf(w, "%s, seed %d, %s, %.0f s of load, %d requests\n", r.Scenario, r.Seed, clock, r.Seconds, r.Asked)
 	fmt.Fprintln(t, "class\tasked\tserved\tlate\trefused\tfailed\tleft\tshare\tp50 ms\tp90 ms\tp99 ms\t")
-	for _, name := range r.ClassOrder() {
+	for _, name := range r.ClassNames {
 		c := r.Classes[name]
 		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.1f\t%.1f\t%.1f\t\n", name, c.Asked, c.Served, c.Late, c.Refused, c.Failed, c.Gone, c.Share, c.P50MS, c.P90MS, c.P99MS)
 	}
--- a/cmd/umberbank/main_test.go
+++ b/cmd/umberbank/main_test.go
@@ -63,6 +63,11 @@
 		{[]string{"--help"}, held, "Examples:", ""},
 		{[]string{"lab", "run", "--help"}, held, "Examples:", ""},
 		{[]string{"lab", "fly"}, couldNot, "", "fly"},
+		{[]string{"lab", "compare", good, good + " load.rate=51", "--virtual", "--seeds", "2"}, held, "too few to tell", ""},
+		{[]string{"lab", "compare", good, good + " clients.retries=0", "--virtual", "--seeds", "6", "--within", "0.5"}, held, "6 seeds", ""},
+		{[]string{"lab", "compare", good, strings.Replace(good, "good", "x", 1) + " clock=odd"}, couldNot, "", "clock is virtual or real"},
+		{[]string{"lab", "compare", good, good + " clock=virtual node=x"}, couldNot, "", "of no use on the virtual clock"},
+		{[]string{"lab", "report", good}, couldNot, "", "good.toml: no result of a run"},
 	} {
 		code, out, errs := call(c.args...)
 		if code != c.code || !strings.Contains(out, c.out) || !strings.Contains(errs, c.errs) || strings.Count(errs, "\n") > 1 {
--- /dev/null
+++ b/cmd/umberbank/report.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"hollyspur/internal/lab/report"
+)
+
+type labReportCmd struct {
+	Result string `arg:"" help:"A result, as lab run --out keeps it."`
+	Out    string `help:"The page; none: the result's name with .html." placeholder:"FILE"`
+	JSON   bool   `help:"Print the result as JSON instead of drawing it."`
+}
+
+// Help is shown by --help.
+func (labReportCmd) Help() string {
+	return `The page holds its pictures and needs nothing else: what was served, refused and failed over time by class and zone, with
+the faults marked; latency; attempts and retries; what servers and nodes held.
+
+Example:
+  umberbank lab run labs/partition.toml --out partition.json
+  umberbank lab report partition.json`
+}
+
+func (c *labReportCmd) Run(a *app) error {
+	f, err := os.Open(c.Result)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	res, err := report.Read(f)
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.Result, err)
+	}
+	if c.JSON {
+		return json.NewEncoder(a.out).Encode(res)
+	}
+	path := c.Out
+	if path == "" {
+		path = strings.TrimSuffix(c.Result, ".json") + ".html"
+	}
+	page, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(report.Write(page, res), page.Close()); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	_, err = fmt.Fprintln(a.out, path)
+	return err
+}
--- a/internal/lab/oracle/oracle.go
+++ b/internal/lab/oracle/oracle.go
@@ -23,10 +23,11 @@
 	Phantom  = "phantom"  // nothing arrives that no client sent
 	Spoilt   = "spoilt"   // a served answer is one that a server made for this request
 	Crash    = "crash"    // no node's process ends by itself, or fails to start
+	Limits   = "limits"   // no node's process holds more memory or descriptors than it may
 )
 
 // Rules are the names of all rules.
-var Rules = []string{Lost, Twice, Keyed, Copies, Promised, Drained, Cold, Phantom, Spoilt, Crash}
+var Rules = []string{Lost, Twice, Keyed, Copies, Promised, Drained, Cold, Phantom, Spoilt, Crash, Limits}
 
 // Violation is a rule broken, by which request and how it went.
 type Violation struct {
@@ -407,6 +408,11 @@
 	o.violated(Crash, nil, "%s: %s", o.site.Nodes[node].Name, why)
 }
 
+// Exceeded notes that a node's process holds more than it may.
+func (o *Oracle) Exceeded(node int, what string) {
+	o.violated(Limits, nil, "%s holds %s", o.site.Nodes[node].Name, what)
+}
+
 // excused tells whether a call's node was killed or stood still at any time while the call was out.
 func (o *Oracle) excused(c *model.Call, now time.Duration) bool {
 	for _, out := range o.outages[c.Node] {
--- /dev/null
+++ b/internal/lab/report/report_test.go
@@ -0,0 +1,69 @@
+package report
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"hollyspur/internal/lab"
+	"hollyspur/internal/lab/scenario"
+	"hollyspur/labs"
+)
+
+// A run is kept, read again and drawn: each picture with its axes named, and the faults on it.
+func TestPage(t *testing.T) {
+	text, err := labs.Files.ReadFile("flap.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := scenario.Parse("flap.toml", text, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	run, err := lab.Run(t.Context(), s, lab.Options{Seed: 1, Virtual: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	run.Failed = []string{"a <wish>"}
+	kept, err := json.Marshal(run)
+	if err != nil {
+		t.Fatal(err)
+	}
+	read, err := Read(bytes.NewReader(kept))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var page bytes.Buffer
+	if err := Write(&page, read); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"time (s)", ">share<", ">ms<", ">1/s<", ">requests<", ">vanish<", "search refused", "a &lt;wish&gt;", "fullest"} {
+		if !strings.Contains(page.String(), want) {
+			t.Errorf("the page has no %q", want)
+		}
+	}
+	if n := strings.Count(page.String(), "<svg"); n != len(plots(read)) || n < 6 {
+		t.Errorf("%d pictures", n)
+	}
+	if strings.Contains(page.String(), "http://") && strings.Contains(page.String(), "src=") {
+		t.Error("the page wants something from elsewhere")
+	}
+}
+
+func TestNoResult(t *testing.T) {
+	for _, text := range []string{"", "{}", "[1]", `{"scenario":"x"}`, "nonsense"} {
+		if _, err := Read(strings.NewReader(text)); err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
+
+// Odd runs can be drawn too: one second, nothing served, a fault that outlasts the run.
+func TestOddRuns(t *testing.T) {
+	r := &lab.Result{Scenario: "x", ClassNames: []string{"a"}, ZoneNames: []string{"z", "y"}, Classes: map[string]*lab.ClassResult{"a": {}},
+		Series: []lab.Second{{Asked: []int{0}}}, Faults: []lab.Mark{{Kind: "slow", From: 0, To: 99}, {Kind: "late", From: 50, To: 60}}}
+	if err := Write(&bytes.Buffer{}, r); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/lab/wrong_test.go
+++ b/internal/lab/wrong_test.go
@@ -30,6 +30,7 @@
 	mu      sync.Mutex
 	targets []wrongTarget
 	next    atomic.Int64
+	hoard   []*os.File
 }
 
 // wrongNode is the program of a node that breaks one rule.
@@ -137,6 +138,12 @@
 		send(path, id+"-mine")
 	case s.mode == "alter" && class == "pay":
 		body = append(body, " and more"...)
+	case s.mode == "hoard":
+		if f, err := os.Open(os.DevNull); err == nil {
+			s.mu.Lock()
+			s.hoard = append(s.hoard, f)
+			s.mu.Unlock()
+		}
 	case s.mode == "make-up":
 		io.WriteString(w, "all is well")
 		return
