lab cost measures one node on one core beside a bare relay

Need: a baseline that later parts must not worsen, beside the limit that users would compare with. One node process and one relay of net/http alone, each on one core, between a loader and servers that answer at once: requests/s held, added latency at half of that, processor time and bytes a request by part, memory.

--- /dev/null
+++ b/cmd/umberbank/cost.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"hollyspur/internal/lab/cost"
+)
+
+type labCostCmd struct {
+	For  time.Duration `help:"How long each measurement lasts." default:"3s"`
+	Node string        `help:"Command of a node that takes --stats FILE, such as an earlier umberbank's; none: this program's own." placeholder:"COMMAND"`
+	JSON bool          `help:"Print one JSON object."`
+}
+
+// Help is shown by --help.
+func (labCostCmd) Help() string {
+	return `One node alone on one core, between a loader and servers that answer at once, beside a bare relay of net/http: requests/s that
+each holds, latency that each adds, processor time and bytes allocated a request, split by part. Wants cores that
+do nothing else.
+
+Example:
+  umberbank lab cost --json`
+}
+
+func (c *labCostCmd) Run(a *app) error {
+	if c.For <= 0 {
+		return fmt.Errorf("--for: %v is not above 0", c.For)
+	}
+	r, err := cost.Measure(a.ctx, cost.Options{Node: strings.Fields(c.Node), For: c.For, Step: func(s string) { a.log.Info(s) }})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		err = json.NewEncoder(a.out).Encode(r)
+	} else {
+		err = printCost(a, r)
+	}
+	if err == nil && !r.Valid {
+		err = errors.New("the figures are not valid: this machine could not send the load in time")
+	}
+	return err
+}
+
+func printCost(a *app, r *cost.Result) error {
+	t := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "\tnode\tbare relay\tratio\t")
+	row := func(name string, of func(*cost.Subject) float64, digits int) {
+		n, b := of(&r.Node), of(&r.Relay)
+		ratio := "-" // the relay has no such part
+		if b > 0 {
+			ratio = fmt.Sprintf("%.2f", n/b)
+		}
+		fmt.Fprintf(t, "%s\t%.*f\t%.*f\t%s\t\n", name, digits, n, digits, b, ratio)
+	}
+	row("requests/s held", func(s *cost.Subject) float64 { return s.Held }, 0)
+	row(fmt.Sprintf("added p50 us, %.0f/s", r.RatePaced), func(s *cost.Subject) float64 { return s.Added.P50 }, 0)
+	row("added p99 us", func(s *cost.Subject) float64 { return s.Added.P99 }, 0)
+	row("CPU us a request", func(s *cost.Subject) float64 { return s.CPUMicros }, 1)
+	for _, p := range cost.Parts {
+		row("  "+p, func(s *cost.Subject) float64 { return s.CPUSplit[p] }, 1)
+	}
+	row("bytes a request", func(s *cost.Subject) float64 { return s.AllocBytes }, 0)
+	for _, p := range cost.Parts {
+		row("  "+p, func(s *cost.Subject) float64 { return s.AllocSplit[p] }, 0)
+	}
+	row("allocations a request", func(s *cost.Subject) float64 { return s.Allocs }, 1)
+	row("MB at rest", func(s *cost.Subject) float64 { return s.MemoryRest }, 1)
+	row("MB under load", func(s *cost.Subject) float64 { return s.MemoryMB }, 1)
+	return t.Flush()
+}
+
+// labBareRelayCmd is what lab cost measures beside the node.
+type labBareRelayCmd struct {
+	Listen string   `required:"" help:"Where it listens."`
+	To     []string `required:"" help:"Servers, asked in turn."`
+	Stats  string   `hidden:"" help:"Write what was used between SIGUSR1 and SIGUSR2 here."`
+}
+
+func (c *labBareRelayCmd) Run(a *app) error {
+	if c.Stats != "" {
+		cost.Watch(c.Stats)
+	}
+	return cost.ServeRelay(a.ctx, c.Listen, c.To)
+}
--- a/cmd/umberbank/lab.go
+++ b/cmd/umberbank/lab.go
@@ -21,8 +21,11 @@
 type labCmd struct {
 	Run     labRunCmd     `cmd:"" help:"Play one scenario."`
 	Compare labCompareCmd `cmd:"" help:"Play two ways on the same seeds and tell the differences."`
+	Cost    labCostCmd    `cmd:"" help:"Measure what one node costs, beside a bare relay."`
 	Report  labReportCmd  `cmd:"" help:"Draw a run."`
 	Check   labCheckCmd   `cmd:"" help:"Check scenario files without playing them."`
+
+	BareRelay labBareRelayCmd `cmd:"" hidden:"" help:"The relay that lab cost measures beside the node."`
 }
 
 // scenarioFlags say what is played.
--- a/cmd/umberbank/main.go
+++ b/cmd/umberbank/main.go
@@ -15,6 +15,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"hollyspur/internal/lab/cost"
 	"hollyspur/internal/node"
 )
 
@@ -108,7 +109,9 @@
 	}
 }
 
-type nodeCmd struct{}
+type nodeCmd struct {
+	Stats string `hidden:"" help:"Write what was used between SIGUSR1 and SIGUSR2 here."`
+}
 
 // Help is shown by --help.
 func (nodeCmd) Help() string {
@@ -119,7 +122,10 @@
   ROUTER_CONFIG=config.json umberbank node`
 }
 
-func (nodeCmd) Run(a *app) error {
+func (c *nodeCmd) Run(a *app) error {
+	if c.Stats != "" {
+		cost.Watch(c.Stats)
+	}
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
--- /dev/null
+++ b/internal/lab/cost/cost_test.go
@@ -0,0 +1,97 @@
+package cost
+
+import (
+	"context"
+	"flag"
+	"math"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/pprof/profile"
+
+	"hollyspur/internal/node"
+)
+
+// The test binary is the processes that are measured too.
+func TestMain(m *testing.M) {
+	mode := os.Getenv("COST_TEST_PROCESS")
+	if mode == "" {
+		os.Exit(m.Run())
+	}
+	flags := flag.NewFlagSet(mode, flag.ExitOnError)
+	stats, listen, to := flags.String("stats", "", ""), flags.String("listen", "", ""), flags.String("to", "", "")
+	flags.Parse(os.Args[1:])
+	Watch(*stats)
+	var err error
+	if mode == "node" {
+		err = node.RunProgram(context.Background(), make(chan os.Signal))
+	} else {
+		err = ServeRelay(context.Background(), *listen, strings.Split(*to, ","))
+	}
+	if err != nil {
+		panic(err)
+	}
+}
+
+func command(t *testing.T, mode string) []string {
+	t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return []string{"/usr/bin/env", "COST_TEST_PROCESS=" + mode, self}
+}
+
+// A measurement of real processes: every figure is there, and the parts make up the whole.
+func TestMeasure(t *testing.T) {
+	r, err := Measure(t.Context(), Options{Node: command(t, "node"), Relay: command(t, "relay"), For: 500 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, s := range map[string]Subject{"node": r.Node, "relay": r.Relay} {
+		if s.Held <= 0 || s.CPUMicros <= 0 || s.AllocBytes <= 0 || s.MemoryMB <= 0 || s.Descriptors <= 0 || s.Latency.P50 <= 0 || s.Latency.P99 < s.Latency.P50 {
+			t.Errorf("%s: %+v", name, s)
+		}
+		sum := 0.0
+		for _, p := range Parts {
+			sum += s.CPUSplit[p]
+		}
+		if math.Abs(sum-s.CPUMicros) > 0.01*s.CPUMicros {
+			t.Errorf("%s: the parts are %v of %v us", name, sum, s.CPUMicros)
+		}
+	}
+	if r.Node.CPUSplit[Module] <= 0 || r.Relay.CPUSplit[Module] != 0 || r.Direct.P50 <= 0 {
+		t.Errorf("module %v and %v us, direct %v", r.Node.CPUSplit[Module], r.Relay.CPUSplit[Module], r.Direct)
+	}
+}
+
+// A command that ends, or never is ready, is told with what it said.
+func TestCannotStart(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, err := Measure(ctx, Options{Node: []string{"/bin/sh", "-c", "echo out of luck; exit 1"}})
+	if err == nil || !strings.Contains(err.Error(), "out of luck") {
+		t.Errorf("error %v", err)
+	}
+}
+
+// The innermost frame that says a part decides, but the module has all that it calls.
+func TestParts(t *testing.T) {
+	for want, stack := range map[string][]string{
+		Module:  {"runtime.mapassign", "slices.SortFunc", "hollyspur.(*Balancer).arrange", "hollyspur/internal/node.(*loop).handle"},
+		Sockets: {"internal/runtime/syscall.Syscall6", "internal/poll.(*FD).Write", "net/http.(*conn).serve"},
+		Parsing: {"runtime.mallocgc", "net/textproto.(*Reader).ReadLine", "hollyspur/internal/node.(*upstream).exchange"},
+		Own:     {"runtime.mallocgc", "hollyspur/internal/node.(*download).fill", "net/http.HandlerFunc.ServeHTTP"},
+		Runtime: {"runtime.gcBgMarkWorker"},
+	} {
+		s := &profile.Sample{}
+		for _, name := range stack {
+			s.Location = append(s.Location, &profile.Location{Line: []profile.Line{{Function: &profile.Function{Name: name}}}})
+		}
+		if got := part(s); got != want {
+			t.Errorf("%v is %s, want %s", stack, got, want)
+		}
+	}
+}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"hollyspur/internal/lab/fault"
+	"hollyspur/internal/lab/launch"
 	"hollyspur/internal/lab/model"
 	"hollyspur/internal/lab/relay"
 )
@@ -54,7 +55,7 @@
 	pools   []*pool
 	servers []*http.Server
 	calls   map[string]*model.Call // in hand; the loop's
-	launch  *launcher
+	launch  *launch.Launcher
 	running sync.WaitGroup
 }
 
@@ -89,7 +90,7 @@
 	if f.dir, err = os.MkdirTemp("", "umberbank-lab-"); err != nil {
 		return f, err
 	}
-	f.launch = newLauncher()
+	f.launch = launch.New()
 	touched := map[[2]int]bool{}
 	fault.Links(opt.Events, w.Site, func(node, server int) { touched[[2]int{node, server}] = true })
 	if err = f.startServers(touched); err != nil {
@@ -198,7 +199,7 @@
 	}
 	f.running.Wait()
 	if f.launch != nil {
-		f.launch.close()
+		f.launch.Close()
 	}
 	if f.net != nil {
 		f.net.release()
--- a/internal/lab/fleet/process.go
+++ b/internal/lab/fleet/process.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -56,32 +55,6 @@
 	return strings.Join(t.lines, " | ")
 }
 
-// launcher starts processes from one thread that lives as long as the run: the system kills them when that thread
-// ends, and so when this program dies, however that happens.
-type launcher struct {
-	jobs chan func()
-	once sync.Once
-}
-
-func newLauncher() *launcher {
-	l := &launcher{jobs: make(chan func())}
-	go func() {
-		runtime.LockOSThread() // and never unlocked: the thread ends with the goroutine
-		for job := range l.jobs {
-			job()
-		}
-	}()
-	return l
-}
-
-func (l *launcher) start(cmd *exec.Cmd) error {
-	err := make(chan error)
-	l.jobs <- func() { err <- cmd.Start() }
-	return <-err
-}
-
-func (l *launcher) close() { l.once.Do(func() { close(l.jobs) }) }
-
 // spawn starts the node's process and lets ended hear of its end on the waiting goroutine.
 func (p *process) spawn(ended func(cmd *exec.Cmd, err error)) error {
 	f := p.f
@@ -100,13 +73,12 @@
 	cmd := exec.Command(f.opt.Node[0], f.opt.Node[1:]...)
 	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+config, "ROUTER_NAME="+name, "ROUTER_LISTEN="+f.nodeAddr(p.node),
 		"ROUTER_DISCOVERY="+f.agents[p.node].addr, "TMPDIR="+tmp)
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	r, w, err := os.Pipe()
 	if err != nil {
 		return err
 	}
 	cmd.Stdout, cmd.Stderr = w, w
-	if err := f.launch.start(cmd); err != nil {
+	if err := f.launch.Start(cmd); err != nil {
 		r.Close()
 		w.Close()
 		return fmt.Errorf("node %s: %w", name, err)
