Read short answers into short buffers: 32 KB a request were thrown away

Observed: lab cost gave 40.7 KB allocated a request for answers of 16 bytes, 36 KB of it in the node's own code. Cause: download.fill made a buffer of 32 KB for every answer, of whatever length (internal/node/download.go, fill), and the collector ran for it. The buffer now begins at the told length, or at 1 KB where none is told, and grows fourfold as long as the answer fills it.

--- a/internal/node/download.go
+++ b/internal/node/download.go
@@ -63,7 +63,7 @@
 // fill reads the answer to its end, which it returns the reason of; nil: it is whole. It calls begin when
 // it holds all that it may and there is more.
 func (d *download) fill(r io.Reader, begin func()) error {
-	buf := make([]byte, piece)
+	buf := make([]byte, d.firstPiece())
 	total := int64(0)
 	for {
 		n, err := r.Read(buf)
@@ -86,7 +86,22 @@
 		if err != nil {
 			return d.end(err)
 		}
+		if n == len(buf) && n < piece {
+			buf = make([]byte, min(piece, 4*n)) // there is more of it than was thought
+		}
+	}
+}
+
+// leastPiece is the least that is read at once: most answers are shorter.
+const leastPiece = 1 << 10
+
+// firstPiece is how much is read at once at first. A buffer for a long answer costs more than all the rest of a
+// short one.
+func (d *download) firstPiece() int64 {
+	if d.length < 0 {
+		return leastPiece
 	}
+	return min(piece, max(leastPiece, d.length))
 }
 
 // add takes what there is room for.
