The lab: a node beside a server lives and dies with it; regions can be cut; connections are bounded

Need: the protocol stops and starts the node of a later tier together with its server, and a server holds a limited number of connections; the model did neither on real sockets. A server that starts now waits for its node to be ready, and its listeners close what comes in excess. cut takes a region as well as a zone.

--- a/internal/lab/fault/fault.go
+++ b/internal/lab/fault/fault.go
@@ -43,28 +43,27 @@
 
 // aim draws what a fault hits.
 func (e *Event) aim(site *scenario.Site, r *rand.Rand) {
-	tier, zone := -1, -1
+	tier := -1
 	for i, t := range site.Tiers {
 		if t.Name == e.Tier {
 			tier = i
 		}
 	}
-	for i, z := range site.Zones {
-		if z.Name == e.Zone {
-			zone = i
-		}
+	inside := func(zone int) bool {
+		z := &site.Zones[zone]
+		return (e.Zone == "" || z.Name == e.Zone) && (e.Region == "" || z.Region == e.Region)
 	}
 	var nodes, servers []int
 	for i, n := range site.Nodes {
 		front := n.Owner < 0 && (tier < 0 || tier == 0)
 		beside := n.Owner >= 0 && tier == n.Tier
 		named := len(e.Names) == 0 && (front || beside) || slices.Contains(e.Names, n.Name)
-		if named && (zone < 0 || n.Zone == zone) {
+		if named && inside(n.Zone) {
 			nodes = append(nodes, i)
 		}
 	}
 	for i, s := range site.Servers {
-		if (len(e.Names) == 0 || slices.Contains(e.Names, s.Name)) && (tier < 0 || s.Tier == tier) && (zone < 0 || s.Zone == zone) {
+		if (len(e.Names) == 0 || slices.Contains(e.Names, s.Name)) && (tier < 0 || s.Tier == tier) && inside(s.Zone) {
 			servers = append(servers, i)
 		}
 	}
@@ -75,7 +74,7 @@
 		e.Servers = e.some(servers, r)
 	case scenario.OnLinks:
 		if e.Kind == "cut" {
-			e.cut(site, zone)
+			e.cut(site, inside)
 			return
 		}
 		e.Servers = e.some(servers, r)
@@ -106,15 +105,15 @@
 	return picked
 }
 
-// cut parts a zone from all others.
-func (e *Event) cut(site *scenario.Site, zone int) {
+// cut parts a zone or region from all others.
+func (e *Event) cut(site *scenario.Site, inside func(zone int) bool) {
 	var nodes, servers [2][]int // outside, inside
 	for i, n := range site.Nodes {
-		in := b2i(n.Zone == zone)
+		in := b2i(inside(n.Zone))
 		nodes[in] = append(nodes[in], i)
 	}
 	for i, s := range site.Servers {
-		in := b2i(s.Zone == zone)
+		in := b2i(inside(s.Zone))
 		servers[in] = append(servers[in], i)
 	}
 	e.pairs = [][2][]int{{nodes[0], servers[1]}, {nodes[1], servers[0]}}
--- a/internal/lab/fleet/server.go
+++ b/internal/lab/fleet/server.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"hollyspur/internal/lab/model"
@@ -37,6 +39,7 @@
 			},
 			IdleTimeout: f.w.Site.Limits.Idle.D(),
 		}
+		open := &atomic.Int64{}
 		for n := range f.w.Site.Nodes {
 			if f.w.Site.Nodes[n].Tier != f.w.Site.Servers[s].Tier {
 				continue
@@ -47,7 +50,7 @@
 			}
 			l := &link{addr: ln.Addr().String(), effects: map[*model.Effect]*relay.Effect{}}
 			f.links[[2]int{n, s}] = l
-			f.serveHTTP(&linkListener{ln, endpoint{n, s}}, srv)
+			f.serveHTTP(&linkListener{ln, endpoint{n, s}, open, int64(f.w.Site.Servers[s].Kind.Connections)}, srv)
 			if touched[[2]int{n, s}] {
 				if l.relay, err = relay.Listen(host, l.addr); err != nil {
 					return err
@@ -59,9 +62,40 @@
 	return nil
 }
 
+// linkListener takes the connections of one link, as long as its server has room for more.
 type linkListener struct {
 	net.Listener
 	endpoint
+	open *atomic.Int64 // at the server, over all links
+	most int64
+}
+
+// Accept closes what comes in excess, before a byte of it is read.
+func (l *linkListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= l.most {
+			return &countedConn{Conn: c, open: l.open}, nil
+		}
+		l.open.Add(-1)
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
+// countedConn gives its place back once it is closed.
+type countedConn struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
 }
 
 // maxBody is the most that a server reads of a request.
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -145,17 +145,7 @@
 // Run plays a scenario. If ctx ends before the run does, the Result is what came until then, marked partial,
 // and the error is ctx's.
 func Run(ctx context.Context, s *scenario.Scenario, opt Options) (*Result, error) {
-	if opt.Log == nil {
-		opt.Log = func(string, ...any) {}
-	}
-	site := scenario.NewSite(s, opt.Seed)
-	r := &run{opt: opt, site: site, loop: sim.New()}
-	r.oracle = oracle.New(r.loop, site)
-	r.world = model.NewWorld(r.loop, site, r.oracle)
-	r.oracle.Watch(r.world)
-	r.front = traffic.NewFront(r.world)
-	r.clients = traffic.New(r.world, r.front, r.count)
-	r.result = newResult(site, opt)
+	r := newRun(scenario.NewSite(s, opt.Seed), opt)
 	var err error
 	if opt.Virtual {
 		err = r.playVirtual(ctx)
@@ -169,6 +159,21 @@
 	return r.result, err
 }
 
+func newRun(site *scenario.Site, opt Options) *run {
+	if opt.Log == nil {
+		opt.Log = func(string, ...any) {}
+	}
+	r := &run{opt: opt, site: site, loop: sim.New()}
+	r.oracle = oracle.New(r.loop, site)
+	r.world = model.NewWorld(r.loop, site, r.oracle)
+	r.world.Process = r.process
+	r.oracle.Watch(r.world)
+	r.front = traffic.NewFront(r.world)
+	r.clients = traffic.New(r.world, r.front, r.count)
+	r.result = newResult(site, opt)
+	return r
+}
+
 func newResult(site *scenario.Site, opt Options) *Result {
 	res := &Result{Scenario: site.Name, Seed: opt.Seed, Virtual: opt.Virtual, Rules: map[string]int{}, Classes: map[string]*ClassResult{},
 		Failed: []string{}, Violations: []oracle.Violation{}, Faults: []Mark{}}
@@ -219,6 +224,7 @@
 func (r *run) ready(node int) {
 	r.oracle.Process(node, model.Start)
 	r.front.Ready(node)
+	r.world.NodeReady(node)
 }
 
 func (r *run) note(e *fault.Event, on bool) {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -51,7 +51,7 @@
 	return []string{"/usr/bin/env", "LAB_TEST_NODE=" + mode, self}
 }
 
-func parse(t *testing.T, text string, overrides ...string) *scenario.Scenario {
+func parse(t testing.TB, text string, overrides ...string) *scenario.Scenario {
 	t.Helper()
 	s, err := scenario.Parse("test.toml", []byte(text), overrides)
 	if err != nil {
@@ -60,7 +60,7 @@
 	return s
 }
 
-func shipped(t *testing.T, name string, overrides ...string) *scenario.Scenario {
+func shipped(t testing.TB, name string, overrides ...string) *scenario.Scenario {
 	t.Helper()
 	text, err := labs.Files.ReadFile(name)
 	if err != nil {
@@ -153,6 +153,51 @@
 rules_broken = 0
 `
 
+// tiers is small with a tier below, whose nodes stand beside the servers above; those crash, drain and vanish.
+var tiers = strings.Replace(strings.Replace(small, "[[tier]]\n", "[[tier]]\ncalls = [1.5, 1.5]\n", 1), "[[class]]\n",
+	"[[tier]]\nname = \"data\"\nservers = 4\nwork = 0.5\n[[class]]\n", 1) + `
+[[fault]]
+kind = "crash"
+at = "500ms"
+for = "500ms"
+names = ["web-0", "data-1"]
+[[fault]]
+kind = "drain"
+at = "1s"
+for = "500ms"
+names = ["web-1"]
+[[fault]]
+kind = "vanish"
+at = "1s"
+for = "700ms"
+names = ["web-2"]
+`
+
+// A server's node is stopped and started together with it, on both clocks, and the site serves on.
+func TestNodesBesideServers(t *testing.T) {
+	for _, virtual := range []bool{true, false} {
+		t.Run(fmt.Sprint("virtual=", virtual), func(t *testing.T) {
+			t.Parallel()
+			var mu sync.Mutex
+			var log []string
+			r := play(t, parse(t, tiers), Options{Virtual: virtual, Node: nodeCommand(t, "right"), Log: func(format string, args ...any) {
+				mu.Lock()
+				defer mu.Unlock()
+				log = append(log, fmt.Sprintf(format, args...))
+			}})
+			if r.RulesBroken > 0 || r.Valid && r.TailServed < 0.8 {
+				t.Errorf("served %.3f, in the end %.3f, broken %v: %+v", r.Served, r.TailServed, r.Rules, r.Violations)
+			}
+			all := strings.Join(log, "\n")
+			for _, node := range []string{"n1-0", "n1-1", "n1-2"} {
+				if !strings.Contains(all, "kill "+node) || !strings.Contains(all, "start "+node) {
+					t.Errorf("%s was not stopped and started with its server:\n%s", node, all)
+				}
+			}
+		})
+	}
+}
+
 // The oracle names each rule that a wrong node breaks, with the request and how it went, and names none where the
 // right one is in its place.
 func TestOracleIsProven(t *testing.T) {
@@ -245,6 +290,7 @@
 		"no servers":  {small, []string{"duration=\"2s\""}, 0, 0},
 		"all gone":    {small + "\n[[fault]]\nkind = \"crash\"\nat = \"1s\"\nfor = \"2s\"\n", []string{"duration=\"8s\"", "discovery.notice=\"300ms\""}, 0.4, 0.9},
 		"overlapping": {small + every("delay", "delay = \"5ms\"") + every("silence", "") + every("reset", ""), []string{"duration=\"60s\""}, 0.5, 1},
+		"two tiers":   {tiers, nil, 0.8, 1},
 		"thousand":    {small + thousand, []string{"duration=\"60s\""}, 0.01, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/lab/model/model.go
+++ b/internal/lab/model/model.go
@@ -126,6 +126,7 @@
 	Observer  Observer
 	Servers   []*Server
 	Directory *Directory
+	Process   func(node int, act ProcessAct) // does it and tells all who must know
 
 	keys   map[rackKey]time.Duration // when a keyed request was first taken by a rack
 	calls  uint64
@@ -148,6 +149,13 @@
 	return w
 }
 
+// NodeReady hears that a node's process serves: a server that waited for its own node to start is up now.
+func (w *World) NodeReady(node int) {
+	if owner := w.Site.Nodes[node].Owner; owner >= 0 && w.Servers[owner].starting {
+		w.Servers[owner].begun()
+	}
+}
+
 // dropped tells whether the rack drops a keyed call as a repeat, and remembers it if not.
 func (w *World) dropped(rack int, c *Call) bool {
 	class := &w.Site.Classes[c.Class]
--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -60,6 +60,7 @@
 	w        *World
 	rng      *rand.Rand
 	up       bool
+	starting bool // it waits for the node beside it
 	state    State
 	boot     time.Duration // when it last started; negative: long ago
 	run      attempts      // by the work at which they end
@@ -466,6 +467,7 @@
 
 // Down ends the server. silent: its machine is gone, so nobody is told; else its connections are reset.
 func (s *Server) Down(silent bool) {
+	s.starting = false
 	if s.up {
 		s.fail(silent)
 		notice := s.w.Site.Discovery.Notice.D()
@@ -503,13 +505,27 @@
 	}
 	s.run, s.queue, s.held = nil, nil, 0
 	s.w.Backend.ServerDown(s.Index, silent)
+	if node := s.w.nodeBeside(s.Index); node >= 0 {
+		s.w.Process(node, Kill) // it is stopped and started together with its server
+	}
 }
 
 // Start brings a server that is down up, cold.
 func (s *Server) Start() {
-	if s.up {
+	if s.up || s.starting {
+		return
+	}
+	if node := s.w.nodeBeside(s.Index); node >= 0 {
+		s.starting = true
+		s.w.Process(node, Start)
 		return
 	}
+	s.begun()
+}
+
+// begun makes a server that has started serve.
+func (s *Server) begun() {
+	s.starting = false
 	s.up, s.state, s.boot, s.at = true, Serving, s.w.Loop.Now(), s.w.Loop.Now()
 	s.w.Backend.ServerUp(s.Index)
 	s.w.Directory.Change(s.Index, Serving)
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -119,8 +119,9 @@
 	c := &checker{}
 	c.must(s.Duration > 0 && s.Duration <= maxDuration, "duration", "%v is not between 0 and 24h", s.Duration.D())
 	c.must(s.Nodes >= 1 && s.Nodes <= maxServers, "nodes", "%d is not between 1 and %d", s.Nodes, maxServers)
-	var zones []string
+	var zones, regions []string
 	for i, z := range s.Zones {
+		regions = append(regions, z.Region)
 		c.must(z.Name != "" && !slices.Contains(zones, z.Name), fmt.Sprintf("zone[%d].name", i), "%q is empty or taken", z.Name)
 		zones = append(zones, z.Name)
 	}
@@ -152,7 +153,7 @@
 	c.must(s.Net.Cross >= 0, "net.cross_zone", "is negative")
 	s.Limits.check(c)
 	for i := range s.Faults {
-		s.Faults[i].check(c, fmt.Sprintf("fault[%d]", i), s, zones, tiers, classes)
+		s.Faults[i].check(c, fmt.Sprintf("fault[%d]", i), s, zones, regions, tiers, classes)
 	}
 	c.share("expect.served_share", s.Expect.Served)
 	c.share("expect.worth_share", s.Expect.Worth)
@@ -241,7 +242,7 @@
 	"burst": OnLoad, "heavy": OnLoad,
 }
 
-func (f *Fault) check(c *checker, at string, s *Scenario, zones, tiers, classes []string) {
+func (f *Fault) check(c *checker, at string, s *Scenario, zones, regions, tiers, classes []string) {
 	target, known := Target[f.Kind]
 	c.must(known, at+".kind", "%q is none of %v", f.Kind, sortedKeys(Target))
 	c.must(f.At >= 0 && f.At <= s.Duration, at+".at", "%v is not within the run of %v", f.At.D(), s.Duration.D())
@@ -249,7 +250,8 @@
 	c.must(f.Repeat >= 0 && f.Repeat <= 100_000, at+".repeat", "%d is not between 0 and 100000", f.Repeat)
 	c.must(f.Repeat <= 1 || f.Every > 0, at+".every", "missing: a repeated fault wants the time from one to the next")
 	c.must(f.Zone == "" || slices.Contains(zones, f.Zone), at+".zone", "no zone %q", f.Zone)
-	c.must(f.Kind != "cut" || f.Zone != "", at+".zone", "missing: the zone that is cut off")
+	c.must(f.Region == "" || slices.Contains(regions, f.Region), at+".region", "no region %q", f.Region)
+	c.must(f.Kind != "cut" || f.Zone != "" || f.Region != "", at+".zone", "missing: the zone (or region) that is cut off")
 	c.must(f.Tier == "" || slices.Contains(tiers, f.Tier), at+".tier", "no tier %q", f.Tier)
 	c.must(f.Class == "" || slices.Contains(classes, f.Class), at+".class", "no class %q", f.Class)
 	c.must(f.Count >= 0, at+".count", "%d is negative", f.Count)
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -160,6 +160,7 @@
 	Names     []string `toml:"names"`  // nodes or servers by name
 	Tier      string   `toml:"tier"`
 	Zone      string   `toml:"zone"`
+	Region    string   `toml:"region"`
 	Count     int      `toml:"count"` // so many of those selected, drawn by the seed
 	Share     float64  `toml:"share"` // or such a share
 	Factor    float64  `toml:"factor"`
