The lab: change relays beside the loop, which stood still while links fell silent

Observed: labs/partition.toml on real processes sent 1.7% of its requests over 5 ms late, the worst 243 ms, on an idle machine. Cause: filling a silent listener's backlog ends with a connection that times out after 20 ms (relay.fill), one for each of 12 links, on the loop itself (fleet.Links). Each relayed link now has a goroutine that does such things in order.

--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -64,8 +64,29 @@
 	addr    string
 	relay   *relay.Relay // nil: no fault touches it
 	effects map[*model.Effect]*relay.Effect
-	crashed *relay.Effect // while the server's process is down
-	gone    *relay.Effect // while its machine is
+	down    []*relay.Effect   // while the server's process, or its machine, is down
+	jobs    chan func() error // for its relay, in order: they may take a moment, and the loop must not wait
+}
+
+// linkJobs is how many of them may wait.
+const linkJobs = 4096
+
+// withRelay puts a relay before a link.
+func (f *Fleet) withRelay(l *link, host string) (err error) {
+	if l.relay, err = relay.Listen(host, l.addr); err != nil {
+		return err
+	}
+	l.addr, l.jobs = l.relay.Addr(), make(chan func() error, linkJobs)
+	f.running.Add(1)
+	go func() {
+		defer f.running.Done()
+		for do := range l.jobs {
+			if err := do(); err != nil {
+				f.fail(fmt.Errorf("relay: %w", err))
+			}
+		}
+	}()
+	return nil
 }
 
 // New returns a fleet whose sockets listen and whose nodes are not started.
@@ -189,6 +210,7 @@
 	for _, l := range f.links {
 		if l.relay != nil {
 			l.relay.Close()
+			close(l.jobs)
 		}
 	}
 	for _, p := range f.pools {
@@ -310,49 +332,53 @@
 				continue
 			}
 			if !on {
-				f.check(l.relay.Remove(l.effects[e]))
+				r := l.effects[e]
 				delete(l.effects, e)
+				l.jobs <- func() error { return l.relay.Remove(r) }
 				continue
 			}
 			r := &relay.Effect{Delay: e.Delay, Jitter: e.Jitter, Silent: e.Silent, Refuse: e.Refuse, Rate: e.Rate, There: e.There, Back: e.Back}
 			l.effects[e] = r
-			f.check(l.relay.Add(r))
-			if e.Reset {
-				l.relay.Reset()
+			l.jobs <- func() error {
+				if e.Reset {
+					l.relay.Reset()
+				}
+				return l.relay.Add(r)
 			}
 		}
 	}
 }
 
-func (f *Fleet) check(err error) {
-	if err != nil {
-		f.fail(fmt.Errorf("relay: %w", err))
-	}
-}
-
 // ServerDown ends a server's connections.
 func (f *Fleet) ServerDown(server int, silent bool) {
 	f.eachLink(server, func(l *link) {
+		e := &relay.Effect{Refuse: true}
 		if silent {
-			l.gone = &relay.Effect{Silent: true, There: true, Back: true}
-			f.check(l.relay.Add(l.gone))
-			return
+			e = &relay.Effect{Silent: true, There: true, Back: true}
+		}
+		l.down = append(l.down, e)
+		l.jobs <- func() error {
+			err := l.relay.Add(e)
+			if !silent {
+				l.relay.Reset()
+			}
+			return err
 		}
-		l.crashed = &relay.Effect{Refuse: true}
-		f.check(l.relay.Add(l.crashed))
-		l.relay.Reset()
 	})
 }
 
 // ServerUp lets connections come again; those from before are reset, as the machine knows nothing of them.
 func (f *Fleet) ServerUp(server int) {
 	f.eachLink(server, func(l *link) {
-		for _, e := range []**relay.Effect{&l.crashed, &l.gone} {
-			if *e != nil {
-				l.relay.Reset()
-				f.check(l.relay.Remove(*e))
-				*e = nil
+		down := l.down
+		l.down = nil
+		l.jobs <- func() error {
+			l.relay.Reset()
+			var err error
+			for _, e := range down {
+				err = errors.Join(err, l.relay.Remove(e))
 			}
+			return err
 		}
 	})
 }
--- a/internal/lab/fleet/server.go
+++ b/internal/lab/fleet/server.go
@@ -52,10 +52,9 @@
 			f.links[[2]int{n, s}] = l
 			f.serveHTTP(&linkListener{ln, endpoint{n, s}, open, int64(f.w.Site.Servers[s].Kind.Connections)}, srv)
 			if touched[[2]int{n, s}] {
-				if l.relay, err = relay.Listen(host, l.addr); err != nil {
+				if err := f.withRelay(l, host); err != nil {
 					return err
 				}
-				l.addr = l.relay.Addr()
 			}
 		}
 	}
