A replicated registry: tokens, leases, one order of revisions, watches that resume

Need: discovery knows only that a process runs, and is somebody else's. umberbank registry serve is a replica of a registry that nodes follow as their discovery without anything new; one alone is a whole registry. State on hashicorp/raft with raft-boltdb, HTTP for writers and readers, a client over several replicas with a checked cache, and a trial that plays faults between real processes and judges what users saw (porcupine for writes and consistent reads, an own check for watches).

--- a/cmd/umberbank/main.go
+++ b/cmd/umberbank/main.go
@@ -34,10 +34,11 @@
 	LogLevel  slog.Level `help:"Least level of what is logged: debug, info, warn or error." default:"warn"`
 	LogFormat string     `help:"Form of the log, on standard error." enum:"text,json" default:"text"`
 
-	Node    nodeCmd    `cmd:"" help:"Run one node, as bin/cranegrade does."`
-	Lab     labCmd     `cmd:"" help:"Play scenarios on fleets of nodes, with faults."`
-	Config  configCmd  `cmd:"" help:"Look at a node's configuration."`
-	Version versionCmd `cmd:"" help:"Say which version this is."`
+	Node     nodeCmd     `cmd:"" help:"Run one node, as bin/cranegrade does."`
+	Lab      labCmd      `cmd:"" help:"Play scenarios on fleets of nodes, with faults."`
+	Registry registryCmd `cmd:"" help:"Run, read and change the registry of servers."`
+	Config   configCmd   `cmd:"" help:"Look at a node's configuration."`
+	Version  versionCmd  `cmd:"" help:"Say which version this is."`
 }
 
 // app is what commands work with.
--- a/internal/lab/scenario/parse.go
+++ b/internal/lab/scenario/parse.go
@@ -1,11 +1,9 @@
 package scenario
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"os"
-	"strconv"
 	"strings"
 
 	koanftoml "github.com/knadh/koanf/parsers/toml/v2"
@@ -14,26 +12,12 @@
 	"github.com/knadh/koanf/v2"
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
+
+	"hollyspur/internal/strict"
 )
 
 // Error is a fault of a file, on one line.
-type Error struct {
-	File   string
-	Line   int // 0: not known, or not from the file
-	Key    string
-	Reason string
-}
-
-func (e *Error) Error() string {
-	at := e.File
-	if e.Line > 0 {
-		at += ":" + strconv.Itoa(e.Line)
-	}
-	if e.Key != "" {
-		at += ": " + e.Key
-	}
-	return at + ": " + e.Reason
-}
+type Error = strict.Error
 
 // Read reads a file. Overrides are key=value in TOML's words, such as load.rate=200; they win over the file.
 func Read(path string, overrides []string) (*Scenario, error) {
@@ -48,7 +32,7 @@
 // fault.
 func Parse(file string, text []byte, overrides []string) (*Scenario, error) {
 	s := defaults()
-	if err := decode(file, text, s); err != nil {
+	if err := strict.Decode(file, text, s); err != nil {
 		return nil, err
 	}
 	lines := keyLines(text)
@@ -87,7 +71,7 @@
 		if err != nil {
 			return nil, &Error{File: "--set " + o, Reason: err.Error()}
 		}
-		if err := decode("--set "+o, merged, defaults()); err != nil {
+		if err := strict.Decode("--set "+o, merged, defaults()); err != nil {
 			var e *Error
 			if errors.As(err, &e) {
 				e.Line = 0 // of the merged text, which nobody sees
@@ -100,26 +84,7 @@
 		return nil, &Error{File: file, Reason: err.Error()}
 	}
 	s := defaults()
-	return s, decode(file, merged, s)
-}
-
-// decode reads TOML strictly.
-func decode(file string, text []byte, into *Scenario) error {
-	err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(into)
-	var strict *toml.StrictMissingError
-	var bad *toml.DecodeError
-	switch {
-	case err == nil:
-		return nil
-	case errors.As(err, &strict) && len(strict.Errors) > 0:
-		first := &strict.Errors[0]
-		row, _ := first.Position()
-		return &Error{file, row, strings.Join(first.Key(), "."), "unknown key"}
-	case errors.As(err, &bad):
-		row, _ := bad.Position()
-		return &Error{file, row, strings.Join(bad.Key(), "."), strings.TrimPrefix(bad.Error(), "toml: ")}
-	}
-	return &Error{File: file, Reason: strings.TrimPrefix(err.Error(), "toml: ")}
+	return s, strict.Decode(file, merged, s)
 }
 
 // keyLines finds the line of every key, as "tier[0].kind[1].cores". A text that does not parse has none.
--- /dev/null
+++ b/internal/registry/client/client_test.go
@@ -0,0 +1,207 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"hollyspur/internal/registry/state"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// limit is how long anything may take that has to happen.
+const limit = 20 * time.Second
+
+// fake is a replica that says what it is told to: one script for each watch, in turn.
+type fake struct {
+	mu      sync.Mutex
+	scripts [][]string
+	asked   []string // the revisions that watches began from
+}
+
+func (f *fake) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	f.mu.Lock()
+	f.asked = append(f.asked, q.URL.Query().Get("since"))
+	var script []string
+	if len(f.scripts) > 0 {
+		script, f.scripts = f.scripts[0], f.scripts[1:]
+	}
+	f.mu.Unlock()
+	for _, l := range script {
+		if l == "hang" {
+			w.(http.Flusher).Flush()
+			<-q.Context().Done()
+			return
+		}
+		fmt.Fprint(w, l)
+	}
+}
+
+func serve(t *testing.T, h http.Handler) string {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func list(rev int, all bool, uids ...string) string {
+	var l []string
+	for _, u := range uids {
+		st := state.Serving
+		if strings.HasPrefix(u, "-") {
+			u, st = u[1:], state.Deleted
+		}
+		l = append(l, fmt.Sprintf(`{"uid":%q,"endpoint":"a:1","state":%q,"mod":%d}`, u, st, rev))
+	}
+	return fmt.Sprintf(`{"rev":%d,"all":%v,"targets":[%s]}`, rev, all, strings.Join(l, ","))
+}
+
+// follow runs a Reader until what it holds is as wanted.
+func follow(t *testing.T, opt Options, want func(View) bool) View {
+	t.Helper()
+	opt.RestFirst, opt.RestMost = time.Millisecond, 5*time.Millisecond
+	r, err := NewReader(opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	done := make(chan error, 1)
+	reached := false
+	go func() {
+		done <- r.Run(ctx, func() {
+			if want(r.View()) {
+				reached = true
+				cancel()
+			}
+		})
+	}()
+	if err := <-done; !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("ended with %v", err)
+	}
+	if !reached {
+		t.Errorf("holds %+v", r.View())
+	}
+	return r.View()
+}
+
+func uids(v View) string {
+	var l []string
+	for _, e := range v.Entries {
+		l = append(l, e.UID)
+	}
+	return strings.Join(l, " ")
+}
+
+// Lines cut short, nonsense, older revisions, silence and half a list change nothing that is held, and the Reader goes
+// on from its own revision.
+func TestReader(t *testing.T) {
+	f := &fake{scripts: [][]string{
+		{list(10, true, "a", "b") + "\n", list(11, false, "c") + "\n", list(12, false, "-a")}, // no end
+		{"nonsense\n"},
+		{list(9, true, "old") + "\n"},
+		{list(11, false, "old") + "\n"},
+		{`{"rev":30,"all":true}` + "\n"},
+		{"\n", "hang"},
+		{list(12, false, "-a") + "\n", "\n", list(13, false, "d") + "\n", "hang"},
+	}}
+	v := follow(t, Options{Endpoints: []string{serve(t, f)}, Silence: 50 * time.Millisecond}, func(v View) bool { return v.Rev == 13 })
+	if uids(v) != "b c d" || v.Wholes != 1 || v.Heard.IsZero() {
+		t.Errorf("holds %q: %+v", uids(v), v)
+	}
+	if got := strings.Join(f.asked[:7], " "); got != "0 11 11 11 11 11 11" {
+		t.Errorf("watches began from %s", got)
+	}
+}
+
+// One replica is gone, another silent: the third is found.
+func TestMovesOn(t *testing.T) {
+	gone := httptest.NewServer(nil)
+	gone.Close()
+	silent := &fake{scripts: [][]string{{"hang"}, {"hang"}, {"hang"}, {"hang"}}}
+	good := &fake{}
+	for range 20 {
+		good.scripts = append(good.scripts, []string{list(5, true, "a") + "\n", "hang"})
+	}
+	follow(t, Options{Endpoints: []string{strings.TrimPrefix(gone.URL, "http://"), serve(t, silent), serve(t, good)}, Silence: 50 * time.Millisecond},
+		func(v View) bool { return v.Rev == 5 })
+}
+
+// The cache brings the last list over a restart; one that was spoilt, however, is none.
+func TestCache(t *testing.T) {
+	cache := filepath.Join(t.TempDir(), "list")
+	f := &fake{scripts: [][]string{{list(7, true, "a", "b") + "\n", "hang"}}}
+	follow(t, Options{Endpoints: []string{serve(t, f)}, Cache: cache}, func(v View) bool { return v.Rev == 7 })
+	r, err := NewReader(Options{Endpoints: []string{"127.0.0.1:1"}, Cache: cache})
+	if v := r.View(); err != nil || v.Rev != 7 || uids(v) != "a b" || !v.Heard.IsZero() {
+		t.Errorf("after a restart: %+v, %v", v, err)
+	}
+	whole, err := os.ReadFile(cache)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range whole {
+		for _, spoilt := range [][]byte{whole[:i], append(append([]byte{}, whole[:i]...), append([]byte{whole[i] ^ 1}, whole[i+1:]...)...)} {
+			if err := os.WriteFile(cache, spoilt, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if r, err := NewReader(Options{Endpoints: []string{"127.0.0.1:1"}, Cache: cache}); err != nil || r.View().Rev != 0 {
+				t.Fatalf("a cache spoilt at byte %d was taken: %+v, %v", i, r.View(), err)
+			}
+		}
+	}
+}
+
+// A write whose answer is lost is repeated with the same id, at another replica; what the registry refuses is not.
+func TestWriter(t *testing.T) {
+	var ids []string
+	calls := 0
+	first := serve(t, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		var b strings.Builder
+		buf := make([]byte, 4096)
+		for n, err := q.Body.Read(buf); ; n, err = q.Body.Read(buf) {
+			b.Write(buf[:n])
+			if err != nil {
+				break
+			}
+		}
+		_, id, _ := strings.Cut(b.String(), `"id":"`)
+		ids = append(ids, id[:min(24, len(id))])
+		switch calls++; calls {
+		case 1:
+			panic(http.ErrAbortHandler)
+		case 2:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case 3:
+			fmt.Fprint(w, `{"answers":[{"rev":3}]}`)
+		default:
+			w.WriteHeader(http.StatusBadRequest)
+			fmt.Fprint(w, `{"error":"no"}`)
+		}
+	}))
+	w, err := NewWriter(Options{Endpoints: []string{first}, RestFirst: time.Millisecond, RestMost: time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	a, err := w.Write(ctx, state.Op{Kind: state.Remove, UID: "a"})
+	if err != nil || a[0].Rev != 3 || len(ids) != 3 || ids[0] == "" || ids[0] != ids[1] || ids[1] != ids[2] {
+		t.Errorf("%+v, %v, ids %q", a, err, ids)
+	}
+	if _, err := w.Write(ctx, state.Op{Kind: state.Remove, UID: "a"}); err == nil || !strings.Contains(err.Error(), "no") || calls != 4 {
+		t.Errorf("refused: %v after %d calls", err, calls)
+	}
+	w.http.CloseIdleConnections()
+}
--- /dev/null
+++ b/internal/registry/replica/api.go
@@ -0,0 +1,357 @@
+package replica
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/raft"
+
+	"hollyspur/internal/registry/state"
+)
+
+// Bounds of calls.
+const (
+	maxRequest  = 64 << 20
+	maxOps      = 10_000
+	heartbeat   = 2 * time.Second // of a watch: an empty line says that it lives
+	writeStall  = 10 * time.Second
+	awaitAtMost = 5 * time.Second
+)
+
+// Headers.
+const (
+	// HeaderRev is the revision of what was read.
+	HeaderRev = "X-Registry-Revision"
+	// HeaderStale is how long ago, in milliseconds, the replica last heard from its leader: what it says is no older
+	// than that and one heartbeat of raft's.
+	HeaderStale = "X-Registry-Stale-Ms"
+	forwarded   = "X-Registry-Forwarded"
+)
+
+// Lease names a lease to renew.
+type Lease struct {
+	UID   string `json:"uid"`
+	Token int64  `json:"token"`
+}
+
+// Status is what a replica says of itself.
+type Status struct {
+	ID       string            `json:"id"`
+	Leads    bool              `json:"leads"`
+	Leader   string            `json:"leader"`
+	Term     string            `json:"term"`
+	Rev      int64             `json:"rev"`
+	Epoch    int64             `json:"epoch"`
+	Entries  int               `json:"entries"`
+	Suspects int               `json:"suspects"`
+	Watchers int64             `json:"watchers"`
+	StaleMS  int64             `json:"stale_ms"`
+	Members  map[string]string `json:"members"`
+	Replicas map[string]string `json:"replicas"` // as raft has them, by id
+}
+
+// gauge counts what is open.
+type gauge struct{ atomic.Int64 }
+
+func (r *Replica) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /registry/instances", r.instances)
+	mux.HandleFunc("GET /registry/status", r.status)
+	mux.HandleFunc("GET /registry/backup", func(w http.ResponseWriter, _ *http.Request) {
+		text, err := r.backup()
+		reply(w, json.RawMessage(text), err)
+	})
+	mux.HandleFunc("POST /registry/write", r.leaders(func(body []byte) (any, error) {
+		var c struct {
+			Ops []state.Op `json:"ops"`
+		}
+		if err := json.Unmarshal(body, &c); err != nil {
+			return nil, badRequest{err}
+		}
+		if len(c.Ops) == 0 || len(c.Ops) > maxOps {
+			return nil, badRequest{errors.New("a write wants 1 to 10,000 ops")}
+		}
+		list, err := r.write(command{Ops: c.Ops})
+		return map[string]any{"answers": list}, err
+	}))
+	mux.HandleFunc("POST /registry/restore", r.leaders(func(body []byte) (any, error) {
+		if _, err := state.Load(body); err != nil {
+			return nil, badRequest{err}
+		}
+		_, err := r.write(command{Restore: body})
+		return map[string]any{}, err
+	}))
+	mux.HandleFunc("POST /registry/members", r.leaders(r.changeMember))
+	mux.HandleFunc("POST /registry/renew", func(w http.ResponseWriter, q *http.Request) {
+		r.leaders(func(body []byte) (any, error) {
+			var c struct {
+				Leases []Lease `json:"leases"`
+			}
+			if err := json.Unmarshal(body, &c); err != nil {
+				return nil, badRequest{err}
+			}
+			unknown, err := r.renew(q.Context(), c.Leases)
+			return map[string]any{"unknown": unknown}, err
+		})(w, q)
+	})
+	return mux
+}
+
+// badRequest is the caller's fault.
+type badRequest struct{ error }
+
+// reply answers with JSON, or with an error: 400 the caller's, 503 for which another try may help.
+func reply(w http.ResponseWriter, v any, err error) {
+	w.Header().Set("Content-Type", "application/json")
+	var bad badRequest
+	switch {
+	case errors.As(err, &bad):
+		w.WriteHeader(http.StatusBadRequest)
+		v = map[string]string{"error": err.Error()}
+	case err != nil:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		v = map[string]string{"error": err.Error()}
+	}
+	json.NewEncoder(w).Encode(v) // a caller that has gone needs no answer
+}
+
+// leaders carries a call out if this replica leads, and else passes it on to the one that does, once.
+func (r *Replica) leaders(do func(body []byte) (any, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		body, err := readAll(q.Body)
+		if err != nil {
+			reply(w, nil, badRequest{err})
+			return
+		}
+		if r.raft.State() == raft.Leader {
+			v, err := do(body)
+			reply(w, v, err)
+			return
+		}
+		r.pass(w, q, body)
+	}
+}
+
+// pass hands a call to the leader.
+func (r *Replica) pass(w http.ResponseWriter, q *http.Request, body []byte) {
+	_, id := r.raft.LeaderWithID()
+	var to string
+	r.fsm.read(func(s *state.State) { to = s.Members()[string(id)] })
+	if to == "" || q.Header.Get(forwarded) != "" {
+		reply(w, nil, errNotLeader)
+		return
+	}
+	out, err := http.NewRequestWithContext(q.Context(), q.Method, "http://"+to+q.URL.RequestURI(), bytes.NewReader(body))
+	if err != nil {
+		reply(w, nil, err)
+		return
+	}
+	out.Header.Set(forwarded, r.cfg.ID)
+	resp, err := r.forward.Do(out)
+	if err != nil {
+		reply(w, nil, err)
+		return
+	}
+	defer resp.Body.Close()
+	for _, h := range []string{"Content-Type", HeaderRev, HeaderStale} {
+		if v := resp.Header.Get(h); v != "" {
+			w.Header().Set(h, v)
+		}
+	}
+	w.WriteHeader(resp.StatusCode)
+	io.Copy(w, resp.Body) // a caller that has gone needs no answer
+}
+
+// changeMember takes a replica in, or out.
+func (r *Replica) changeMember(body []byte) (any, error) {
+	var c struct {
+		Add    *Peer  `json:"add"`
+		Remove string `json:"remove"`
+	}
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil, badRequest{err}
+	}
+	switch {
+	case c.Add != nil && c.Add.ID != "" && c.Add.Raft != "" && c.Add.Address != "":
+		if err := r.raft.AddVoter(raft.ServerID(c.Add.ID), raft.ServerAddress(c.Add.Raft), 0, writeWithin).Error(); err != nil {
+			return nil, err
+		}
+		_, err := r.write(command{Ops: []state.Op{{Kind: state.Member, UID: c.Add.ID, Address: c.Add.Address}}})
+		return map[string]any{}, err
+	case c.Remove != "":
+		if _, err := r.write(command{Ops: []state.Op{{Kind: state.Member, UID: c.Remove}}}); err != nil {
+			return nil, err
+		}
+		return map[string]any{}, r.raft.RemoveServer(raft.ServerID(c.Remove), 0, writeWithin).Error()
+	}
+	return nil, badRequest{errors.New("want add (id, raft, address) or remove (id)")}
+}
+
+// staleness is how long ago this replica heard from the leader; 0 on the leader itself.
+func (r *Replica) staleness() time.Duration {
+	if r.raft.State() == raft.Leader {
+		return 0
+	}
+	last := r.raft.LastContact()
+	if last.IsZero() {
+		return 24 * time.Hour // never
+	}
+	return time.Since(last)
+}
+
+func (r *Replica) status(w http.ResponseWriter, _ *http.Request) {
+	_, leader := r.raft.LeaderWithID()
+	st := Status{ID: r.cfg.ID, Leads: r.raft.State() == raft.Leader, Leader: string(leader), Term: r.raft.Stats()["term"],
+		Watchers: r.watchers.Load(), StaleMS: r.staleness().Milliseconds(), Replicas: map[string]string{}}
+	r.fsm.read(func(s *state.State) {
+		st.Rev, st.Epoch, st.Entries, st.Members = s.Rev(), state.Epoch(s.Rev()), s.Len(), s.Members()
+		for _, e := range s.Entries() {
+			if e.Suspect {
+				st.Suspects++
+			}
+		}
+	})
+	if f := r.raft.GetConfiguration(); f.Error() == nil {
+		for _, s := range f.Configuration().Servers {
+			st.Replicas[string(s.ID)] = string(s.Address)
+		}
+	}
+	reply(w, st, nil)
+}
+
+// instances is discovery's form: the whole list, or a watch. at_least=REV waits until the replica has that revision;
+// consistent=1 reads what was committed when the call came. Else the answer may be stale, by what its header says.
+func (r *Replica) instances(w http.ResponseWriter, q *http.Request) {
+	query := q.URL.Query()
+	numbers := map[string]int64{}
+	for _, name := range []string{"since", "at_least"} {
+		if text := query.Get(name); text != "" {
+			n, err := strconv.ParseInt(text, 10, 64)
+			if err != nil {
+				reply(w, nil, badRequest{errors.New(name + ": no number")})
+				return
+			}
+			numbers[name] = n
+		}
+	}
+	if query.Get("consistent") != "" {
+		if r.raft.State() != raft.Leader {
+			r.pass(w, q, nil)
+			return
+		}
+		if err := r.upToDate(); err != nil {
+			reply(w, nil, err)
+			return
+		}
+	}
+	if least := numbers["at_least"]; least > 0 && !r.await(q, least) {
+		reply(w, nil, errors.New("this replica has not come to that revision"))
+		return
+	}
+	if query.Get("follow") != "" {
+		r.watch(w, q, numbers["since"])
+		return
+	}
+	text, rev, err := r.whole()
+	if err != nil {
+		reply(w, nil, err)
+		return
+	}
+	w.Header().Set(HeaderRev, strconv.FormatInt(rev, 10))
+	w.Header().Set(HeaderStale, strconv.FormatInt(r.staleness().Milliseconds(), 10))
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(text)
+}
+
+// await waits for a revision.
+func (r *Replica) await(q *http.Request, least int64) bool {
+	late := time.After(awaitAtMost)
+	for {
+		r.fsm.hub.mu.Lock()
+		rev, wake := r.fsm.hub.rev, r.fsm.hub.wake
+		r.fsm.hub.mu.Unlock()
+		if rev >= least {
+			return true
+		}
+		select {
+		case <-wake:
+		case <-late:
+			return false
+		case <-q.Context().Done():
+			return false
+		}
+	}
+}
+
+func (r *Replica) whole() ([]byte, int64, error) {
+	return r.fsm.hub.wholeList(func() (rev int64, entries []*state.Entry) {
+		r.fsm.read(func(s *state.State) { rev, entries = s.Rev(), s.Entries() })
+		return rev, entries
+	})
+}
+
+// watch writes changes as they come, until either side ends. A watcher that is ahead of this replica hears nothing until
+// the replica has caught up; one of another epoch takes the whole list. A replica that has lost its leader ends its
+// watches, so that readers go to one that has not.
+func (r *Replica) watch(w http.ResponseWriter, q *http.Request, since int64) {
+	r.watchers.Add(1)
+	defer r.watchers.Add(-1)
+	w.Header().Set("Content-Type", "application/json")
+	control := http.NewResponseController(w)
+	beat := time.NewTicker(heartbeat)
+	defer beat.Stop()
+	send := func(b []byte) bool {
+		control.SetWriteDeadline(time.Now().Add(writeStall))
+		_, err := w.Write(b)
+		return err == nil
+	}
+	for {
+		lines, rev, whole, wake, err := r.fsm.hub.after(since)
+		if err != nil {
+			return
+		}
+		if whole && !r.ahead(since) {
+			text, at, err := r.whole()
+			if err != nil {
+				return
+			}
+			lines, rev, whole = [][]byte{text}, at, false
+		}
+		if !whole {
+			for _, l := range lines {
+				if !send(l) {
+					return
+				}
+			}
+			since = rev
+		}
+		if control.Flush() != nil {
+			return
+		}
+		select {
+		case <-wake:
+		case <-beat.C:
+			if r.staleness() > lostAfter || !send([]byte{'\n'}) {
+				return
+			}
+		case <-q.Context().Done():
+			return
+		}
+	}
+}
+
+// lostAfter is how long a replica goes on with its watches without a leader.
+const lostAfter = 5 * time.Second
+
+// ahead tells whether a reader holds a later revision of this epoch than the replica has.
+func (r *Replica) ahead(since int64) bool {
+	ahead := false
+	r.fsm.read(func(s *state.State) { ahead = since > s.Rev() && state.Epoch(since) == state.Epoch(s.Rev()) })
+	return ahead
+}
--- /dev/null
+++ b/internal/registry/replica/config.go
@@ -0,0 +1,93 @@
+package replica
+
+import (
+	_ "embed"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"time"
+
+	"hollyspur/internal/strict"
+)
+
+//go:embed registry.toml
+var builtIn []byte
+
+// file is a replica's configuration as it is written.
+type file struct {
+	ID      string `toml:"id"`
+	Dir     string `toml:"dir"`
+	Raft    string `toml:"raft"`
+	Address string `toml:"address"`
+	Tick    string `toml:"tick"`
+	Peers   []Peer `toml:"peer"`
+	Guard   struct {
+		Share   float64 `toml:"share"`
+		Least   int     `toml:"least"`
+		Window  string  `toml:"window"`
+		Confirm string  `toml:"confirm"`
+	} `toml:"guard"`
+}
+
+// ReadConfig reads a replica's configuration; "": the one that is built in, a whole registry by itself. What a file leaves
+// out is as in that one, but for its peers.
+func ReadConfig(path string) (Config, error) {
+	text, name := builtIn, "registry.toml (built in)"
+	if path != "" {
+		var err error
+		if text, err = os.ReadFile(path); err != nil {
+			return Config{}, err
+		}
+		name = path
+	}
+	var f file
+	if err := strict.Decode(name, builtIn, &f); err != nil {
+		return Config{}, err
+	}
+	if path != "" {
+		f.Peers = nil
+		if err := strict.Decode(name, text, &f); err != nil {
+			return Config{}, err
+		}
+	}
+	bad := func(key, reason string, args ...any) error {
+		return &strict.Error{File: name, Key: key, Reason: fmt.Sprintf(reason, args...)}
+	}
+	c := Config{ID: f.ID, Dir: f.Dir, Raft: f.Raft, Address: f.Address, Peers: f.Peers,
+		Guard: Guard{Share: f.Guard.Share, Least: f.Guard.Least}}
+	for _, d := range []struct {
+		key, text string
+		to        *time.Duration
+	}{{"tick", f.Tick, &c.Tick}, {"guard.window", f.Guard.Window, &c.Guard.Window}, {"guard.confirm", f.Guard.Confirm, &c.Guard.Confirm}} {
+		v, err := time.ParseDuration(d.text)
+		if err != nil || v <= 0 {
+			return c, bad(d.key, "%q is no time above 0 with a unit", d.text)
+		}
+		*d.to = v
+	}
+	for key, addr := range map[string]string{"raft": c.Raft, "address": c.Address} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return c, bad(key, "%q is no host:port", addr)
+		}
+	}
+	switch {
+	case c.ID == "":
+		return c, bad("id", "missing")
+	case c.Dir == "":
+		return c, bad("dir", "missing")
+	case c.Guard.Share <= 0 || c.Guard.Share > 1:
+		return c, bad("guard.share", "%v is no share above 0", c.Guard.Share)
+	case c.Guard.Least < 1:
+		return c, bad("guard.least", "%d is below 1", c.Guard.Least)
+	}
+	for i, p := range c.Peers {
+		if p.ID == "" || p.Raft == "" || p.Address == "" {
+			return c, bad(fmt.Sprintf("peer[%d]", i), "wants id, raft and address")
+		}
+	}
+	if len(c.Peers) > 0 && !slices.ContainsFunc(c.Peers, func(p Peer) bool { return p.ID == c.ID }) {
+		return c, bad("peer", "this replica, %q, is none of them", c.ID)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/registry/replica/leases.go
@@ -0,0 +1,142 @@
+package replica
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"hollyspur/internal/registry/state"
+)
+
+// Guard says when ended leases are not believed.
+//
+// A lease that ends is believed, and its entry goes, unless within Window the leases of more than Share of a zone's
+// entries, and of at least Least, have ended. Then that zone's entries stay as suspects. If every other zone (and
+// there is one) renews as ever, the zone is taken for lost after Confirm, and its suspects go. If two zones or more
+// end together, or there is no other, the fault is likelier between the registry and the servers: suspects
+// stay until they renew, or an operator says that they are gone.
+//
+// Where it must fail: a cut between the registry and one zone alone looks like that zone's loss, and its servers go
+// after Confirm though clients may reach them; and when two zones are truly lost at once, their servers stay listed.
+type Guard struct {
+	Share   float64
+	Least   int
+	Window  time.Duration
+	Confirm time.Duration
+}
+
+// lease is what the leader knows of one entry's holder.
+type lease struct {
+	token   int64
+	zone    string
+	ttl     time.Duration
+	ends    time.Duration // on the leader's clock
+	ended   time.Duration // when it did; 0: it has not
+	suspect bool          // the State says so too
+}
+
+// leases are kept by the leader alone, in memory and on a clock that only it reads: the time since it began to lead. A
+// new leader gives every lease its whole time anew, as it cannot know what was renewed. What follows from an ending is
+// proposed as a write, so it comes to nothing when another leads by then.
+type leases struct {
+	guard Guard
+	byUID map[string]*lease
+	last  time.Duration // the last look
+}
+
+func newLeases(g Guard, entries []*state.Entry, now time.Duration) *leases {
+	l := &leases{guard: g, byUID: map[string]*lease{}, last: now}
+	for _, e := range entries {
+		l.hold(e, now)
+	}
+	return l
+}
+
+// hold begins, or begins anew, the lease of an entry as the State has it.
+func (l *leases) hold(e *state.Entry, now time.Duration) {
+	if e.State == state.Deleted || e.TTLMS == 0 {
+		delete(l.byUID, e.UID)
+		return
+	}
+	ttl := time.Duration(e.TTLMS) * time.Millisecond
+	if old := l.byUID[e.UID]; old != nil && old.token == e.Token {
+		old.zone, old.ttl, old.suspect = e.Zone, ttl, e.Suspect
+		return
+	}
+	l.byUID[e.UID] = &lease{token: e.Token, zone: e.Zone, ttl: ttl, ends: now + ttl, suspect: e.Suspect}
+}
+
+// renew gives a lease its whole time again; false: there is none with this token.
+func (l *leases) renew(uid string, token int64, now time.Duration) bool {
+	h := l.byUID[uid]
+	if h == nil || h.token != token {
+		return false
+	}
+	h.ends, h.ended = now+h.ttl, 0
+	return true
+}
+
+// stalledAfter is how long the leader may go without a look before it takes itself for the one that stood still.
+const stalledAfter = time.Second
+
+// look says what is to be written at a time.
+func (l *leases) look(now time.Duration) []state.Op {
+	if gap := now - l.last; gap > stalledAfter {
+		// Nobody could renew while this process stood still.
+		for _, h := range l.byUID {
+			h.ends += gap
+		}
+	}
+	l.last = now
+	type zone struct{ all, lost int }
+	zones := map[string]*zone{}
+	var ended []string
+	var ops []state.Op
+	for uid, h := range l.byUID {
+		z := zones[h.zone]
+		if z == nil {
+			z = &zone{}
+			zones[h.zone] = z
+		}
+		z.all++
+		if now < h.ends {
+			if h.suspect {
+				ops = append(ops, state.Op{Kind: state.Trust, UID: uid, Token: h.token})
+			}
+			continue
+		}
+		if h.ended == 0 {
+			h.ended = now
+		}
+		ended = append(ended, uid)
+		if now-h.ended <= l.guard.Window || h.suspect {
+			z.lost++
+		}
+	}
+	massive := map[string]bool{}
+	for name, z := range zones {
+		if z.lost >= l.guard.Least && float64(z.lost) > l.guard.Share*float64(z.all) {
+			massive[name] = true
+		}
+	}
+	for _, uid := range ended {
+		h := l.byUID[uid]
+		switch {
+		case !massive[h.zone] && (!h.suspect || len(massive) == 0):
+			// Few end: wait a moment, for the rest of a zone to end too.
+			if now-h.ended >= l.settle() {
+				ops = append(ops, state.Op{Kind: state.Expire, UID: uid, Token: h.token})
+			}
+		case len(massive) == 1 && len(zones) > 1 && now-h.ended >= l.guard.Confirm:
+			ops = append(ops, state.Op{Kind: state.Expire, UID: uid, Token: h.token})
+		case !h.suspect:
+			ops = append(ops, state.Op{Kind: state.Suspect, UID: uid, Token: h.token})
+		}
+	}
+	slices.SortFunc(ops, func(a, b state.Op) int { return cmp.Compare(a.UID, b.UID) })
+	return ops
+}
+
+// settle is how long an ended lease waits for others: heartbeats are spread, so leases that are lost together end over
+// some time.
+func (l *leases) settle() time.Duration { return l.guard.Window / 2 }
--- /dev/null
+++ b/internal/registry/replica/replica.go
@@ -0,0 +1,354 @@
+// Package replica is one replica of the registry: a State kept alike on all of them by hashicorp/raft, leases kept by
+// the leader, and HTTP for writers and readers.
+package replica
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+
+	"hollyspur/internal/registry/state"
+)
+
+// Peer is a replica as a cluster begins.
+type Peer struct {
+	ID      string `toml:"id"`
+	Raft    string `toml:"raft"`    // where the others call it
+	Address string `toml:"address"` // where writers and readers do
+	Via     string `toml:"via"`     // where this replica calls it, if not at Raft
+}
+
+// ServerAddr is where to call a replica; raft asks for it before each connection.
+func (c *Config) ServerAddr(id raft.ServerID) (raft.ServerAddress, error) {
+	for _, p := range c.Peers {
+		if p.ID == string(id) {
+			return raft.ServerAddress(cmp.Or(p.Via, p.Raft)), nil
+		}
+	}
+	return "", fmt.Errorf("no other address of %s", id) // raft then takes the one it has
+}
+
+// Config is what a replica is told.
+type Config struct {
+	ID      string
+	Dir     string // where it keeps its data
+	Raft    string // where it listens for the others
+	Address string // and for writers and readers
+	Peers   []Peer // all that a new cluster begins with, this one included; none: it waits to be taken in by one
+	Guard   Guard
+	// Tick is what raft's times are multiples of; 0: 100 ms. An election takes five to ten.
+	Tick time.Duration
+	// SnapshotEvery is how many entries of the log make a snapshot; 0: 8,192.
+	SnapshotEvery uint64
+	Log           *slog.Logger
+}
+
+// Replica is one that runs.
+type Replica struct {
+	cfg      Config
+	raft     *raft.Raft
+	fsm      *fsm
+	store    *raftboltdb.BoltStore
+	trans    *raft.NetworkTransport
+	http     *http.Server
+	listener net.Listener
+	asks     chan func(*leases) // for the goroutine that keeps leases
+	done     chan struct{}
+	forward  *http.Client
+	watchers gauge
+}
+
+// Defaults.
+const (
+	defaultTick      = 100 * time.Millisecond
+	defaultSnapshots = 8192
+	keptSnapshots    = 2
+	writeWithin      = 5 * time.Second
+	poolSize         = 3
+)
+
+// New starts a replica on the data that it finds, and begins a cluster if there is none and it was told of peers.
+func New(cfg Config) (r *Replica, err error) {
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	if cfg.Tick == 0 {
+		cfg.Tick = defaultTick
+	}
+	if cfg.SnapshotEvery == 0 {
+		cfg.SnapshotEvery = defaultSnapshots
+	}
+	r = &Replica{cfg: cfg, fsm: newFSM(), asks: make(chan func(*leases)), done: make(chan struct{}),
+		forward: &http.Client{Timeout: writeWithin}}
+	defer func() {
+		if err != nil {
+			r.closeFiles()
+		}
+	}()
+	if err := os.MkdirAll(cfg.Dir, 0o700); err != nil {
+		return nil, err
+	}
+	if r.listener, err = net.Listen("tcp", cfg.Address); err != nil {
+		return nil, err
+	}
+	advertised, err := net.ResolveTCPAddr("tcp", cfg.Raft)
+	if err != nil {
+		return nil, fmt.Errorf("raft: %w", err)
+	}
+	logs := hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Warn, Output: slogWriter{cfg.Log}})
+	tc := &raft.NetworkTransportConfig{Logger: logs, MaxPool: poolSize, Timeout: 20 * cfg.Tick}
+	if slices.ContainsFunc(cfg.Peers, func(p Peer) bool { return p.Via != "" }) {
+		tc.ServerAddressProvider = &r.cfg
+	}
+	r.trans, err = raft.NewTCPTransportWithConfig(cfg.Raft, advertised, tc)
+	if err != nil {
+		return nil, err
+	}
+	if r.store, err = raftboltdb.NewBoltStore(filepath.Join(cfg.Dir, "log.db")); err != nil {
+		return nil, fmt.Errorf("%s: %w", filepath.Join(cfg.Dir, "log.db"), err)
+	}
+	snapshots, err := raft.NewFileSnapshotStoreWithLogger(cfg.Dir, keptSnapshots, logs)
+	if err != nil {
+		return nil, err
+	}
+	rc := raft.DefaultConfig()
+	rc.LocalID = raft.ServerID(cfg.ID)
+	rc.HeartbeatTimeout, rc.ElectionTimeout, rc.LeaderLeaseTimeout = 5*cfg.Tick, 5*cfg.Tick, 4*cfg.Tick
+	rc.CommitTimeout = cfg.Tick / 10
+	rc.SnapshotThreshold, rc.TrailingLogs, rc.SnapshotInterval = cfg.SnapshotEvery, cfg.SnapshotEvery, 50*cfg.Tick
+	rc.BatchApplyCh, rc.Logger = true, logs
+	if len(cfg.Peers) > 0 {
+		var all raft.Configuration
+		for _, p := range cfg.Peers {
+			all.Servers = append(all.Servers, raft.Server{ID: raft.ServerID(p.ID), Address: raft.ServerAddress(p.Raft)})
+		}
+		err := raft.BootstrapCluster(rc, r.store, r.store, snapshots, r.trans, all)
+		if err != nil && !errors.Is(err, raft.ErrCantBootstrap) { // it has begun before
+			return nil, err
+		}
+	}
+	if r.raft, err = raft.NewRaft(rc, r.fsm, r.store, r.store, snapshots, r.trans); err != nil {
+		return nil, fmt.Errorf("%s: %w", cfg.Dir, err)
+	}
+	go r.lead()
+	r.http = &http.Server{Handler: r.handler(), ReadHeaderTimeout: writeWithin}
+	go r.http.Serve(r.listener) // until Close
+	return r, nil
+}
+
+// Addr is where writers and readers call.
+func (r *Replica) Addr() string { return r.listener.Addr().String() }
+
+// Close ends the replica; its data stays.
+func (r *Replica) Close() error {
+	r.http.Close()
+	err := r.raft.Shutdown().Error()
+	<-r.done
+	r.closeFiles()
+	return err
+}
+
+func (r *Replica) closeFiles() {
+	if r.listener != nil {
+		r.listener.Close()
+	}
+	if r.trans != nil {
+		r.trans.Close()
+	}
+	if r.store != nil {
+		r.store.Close()
+	}
+}
+
+type slogWriter struct{ log *slog.Logger }
+
+func (w slogWriter) Write(b []byte) (int, error) { w.log.Warn(string(b)); return len(b), nil }
+
+// ---- Leading ----
+
+// lookEvery is how often leases are looked at.
+const lookEvery = 100 * time.Millisecond
+
+// lead keeps the leases for as long as this replica leads. It alone touches them.
+func (r *Replica) lead() {
+	defer close(r.done)
+	leads := r.raft.LeaderCh()
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	began := time.Now()
+	var kept *leases
+	var wake <-chan struct{}
+	var heard int64
+	for {
+		select {
+		case is, open := <-leads:
+			if !open {
+				return
+			}
+			kept, wake = nil, nil
+			if is {
+				kept, heard, wake = r.takeOver(time.Since(began))
+			}
+		case <-wake:
+			heard, wake = r.follow(kept, heard, time.Since(began))
+		case <-tick.C:
+			if r.raft.State() == raft.Shutdown {
+				return
+			}
+			if kept == nil {
+				continue
+			}
+			if ops := kept.look(time.Since(began)); len(ops) > 0 {
+				r.propose(ops)
+			}
+		case ask := <-r.asks:
+			ask(kept)
+		}
+	}
+}
+
+// takeOver makes a new leader's leases, once it has all that was committed before it.
+func (r *Replica) takeOver(now time.Duration) (*leases, int64, <-chan struct{}) {
+	if r.raft.Barrier(writeWithin).Error() != nil {
+		return nil, 0, nil // it leads no more
+	}
+	var entries []*state.Entry
+	var rev int64
+	var mine string
+	r.fsm.read(func(s *state.State) { entries, rev, mine = s.Entries(), s.Rev(), s.Members()[r.cfg.ID] })
+	if mine != r.Addr() {
+		r.propose([]state.Op{{Kind: state.Member, UID: r.cfg.ID, Address: r.Addr()}})
+	}
+	r.fsm.hub.mu.Lock()
+	wake := r.fsm.hub.wake
+	r.fsm.hub.mu.Unlock()
+	return newLeases(r.cfg.Guard, entries, now), rev, wake
+}
+
+// follow brings the leases up to what has changed since a revision.
+func (r *Replica) follow(kept *leases, since int64, now time.Duration) (int64, <-chan struct{}) {
+	rev, wake, changed, whole := r.fsm.hub.entriesAfter(since)
+	if whole {
+		r.fsm.read(func(s *state.State) { changed, rev = s.Entries(), s.Rev() })
+		*kept = *newLeases(kept.guard, changed, now)
+		return rev, wake
+	}
+	for _, e := range changed {
+		kept.hold(e, now)
+	}
+	return rev, wake
+}
+
+// entriesAfter is what has changed since a revision.
+func (h *hub) entriesAfter(since int64) (rev int64, wake <-chan struct{}, changed []*state.Entry, whole bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if since == h.rev {
+		return h.rev, h.wake, nil, false
+	}
+	found := false
+	for _, l := range h.lines {
+		found = found || l.from == since
+		if found {
+			changed = append(changed, l.changed...)
+		}
+	}
+	return h.rev, h.wake, changed, !found
+}
+
+// propose writes without waiting for what comes of it: the next look sees that.
+func (r *Replica) propose(ops []state.Op) {
+	text, err := json.Marshal(command{Ops: ops})
+	if err != nil {
+		r.cfg.Log.Error("a write of the leader's own", "error", err)
+		return
+	}
+	r.raft.Apply(text, writeWithin)
+}
+
+// errNotLeader says that another replica leads, or none.
+var errNotLeader = errors.New("not the leader")
+
+// write has a command committed and gives its answers.
+func (r *Replica) write(c command) ([]state.Answer, error) {
+	text, err := json.Marshal(c)
+	if err != nil {
+		return nil, err
+	}
+	f := r.raft.Apply(text, writeWithin)
+	if err := f.Error(); err != nil {
+		if errors.Is(err, raft.ErrNotLeader) || errors.Is(err, raft.ErrLeadershipLost) || errors.Is(err, raft.ErrLeadershipTransferInProgress) {
+			return nil, fmt.Errorf("%w: %w", errNotLeader, err)
+		}
+		return nil, err
+	}
+	a, ok := f.Response().(answers)
+	if !ok {
+		return nil, fmt.Errorf("the log gave %T for a write", f.Response())
+	}
+	return a.list, a.err
+}
+
+// renew renews leases and gives the uids of those that this replica does not know so.
+func (r *Replica) renew(ctx context.Context, l []Lease) (unknown []string, err error) {
+	answered := make(chan struct{})
+	ask := func(kept *leases) {
+		defer close(answered)
+		if kept == nil {
+			err = errNotLeader
+			return
+		}
+		now := kept.last
+		for _, h := range l {
+			if !kept.renew(h.UID, h.Token, now) {
+				unknown = append(unknown, h.UID)
+			}
+		}
+	}
+	select {
+	case r.asks <- ask:
+		<-answered
+		return unknown, err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-r.done:
+		return nil, errNotLeader
+	}
+}
+
+// upToDate waits until this replica has all that was committed when it was asked; only the leader can tell.
+func (r *Replica) upToDate() error {
+	if err := r.raft.Barrier(writeWithin).Error(); err != nil {
+		return fmt.Errorf("%w: %w", errNotLeader, err)
+	}
+	return nil
+}
+
+// backup is the State as a snapshot.
+func (r *Replica) backup() (text []byte, err error) {
+	r.fsm.read(func(s *state.State) { text, err = s.Snapshot() })
+	return text, err
+}
+
+// readAll reads a bounded body.
+func readAll(body io.Reader) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(body, maxRequest+1))
+	if err == nil && len(text) > maxRequest {
+		err = errors.New("the request is too long")
+	}
+	return text, err
+}
--- /dev/null
+++ b/internal/registry/trial/node_test.go
@@ -0,0 +1,136 @@
+package trial
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"hollyspur/internal/registry/client"
+	"hollyspur/internal/registry/state"
+)
+
+// limit is how long anything may take that has to happen.
+const limit = 30 * time.Second
+
+// A node in service, as it is, follows the registry as its discovery: it takes servers from it, serves on while all
+// replicas are gone, and hears what has changed once they are back.
+func TestNodeFollows(t *testing.T) {
+	t.Parallel()
+	c, err := newCluster(Options{Replicas: 3, Replica: command(t)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.close()
+	for i := range c.nodes {
+		if err := c.start(i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	server := func(name string) *state.Entry {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, name) }))
+		t.Cleanup(s.Close)
+		return &state.Entry{UID: name, Endpoint: strings.TrimPrefix(s.URL, "http://"), Zone: "a", State: state.Serving, Capacity: 1}
+	}
+	w, err := client.NewWriter(client.Options{Endpoints: c.addresses()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	if _, err := w.Write(ctx, state.Op{Kind: state.Register, Entry: server("one")}); err != nil {
+		t.Fatal(err)
+	}
+	listen := startNode(t, c.nodes[0].address)
+	await(t, listen, "one")
+	for i := range c.nodes {
+		c.kill(i)
+	}
+	for range 20 {
+		if got := get(listen); got != "200 one" {
+			t.Fatalf("without a registry: %q", got)
+		}
+	}
+	for i := range c.nodes {
+		if err := c.start(i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := w.Write(ctx, state.Op{Kind: state.Remove, UID: "one"}, state.Op{Kind: state.Register, Entry: server("two")}); err != nil {
+		t.Fatal(err)
+	}
+	await(t, listen, "two")
+}
+
+// startNode runs bin/cranegrade's program with a replica as its discovery, and gives where it listens.
+func startNode(t *testing.T, discovery string) string {
+	t.Helper()
+	dir := t.TempDir()
+	bin := filepath.Join(dir, "cranegrade")
+	if out, err := exec.Command("go", "build", "-o", bin, "hollyspur/cmd/cranegrade").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	listen, err := free()
+	if err != nil {
+		t.Fatal(err)
+	}
+	config, err := json.Marshal(map[string]any{"name": "n0", "listen": listen, "discovery": discovery, "seed": "1f",
+		"settings": map[string]any{"registry-mode": "pushed", "lanes": []any{map[string]any{"name": "read", "effect": "read_like", "target-ms": 1000, "deadline-ms": 2000}},
+			"limits": map[string]any{"max-attempts": 3}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(path, config, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(bin)
+	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+path)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cmd.Process.Kill()
+		cmd.Wait()
+	})
+	return listen
+}
+
+func get(listen string) string {
+	req, err := http.NewRequest("GET", "http://"+listen+"/read/1", nil)
+	if err != nil {
+		return err.Error()
+	}
+	req.Header.Set("X-Correlation-Id", "c-1")
+	req.Header.Set("X-Time-Left", "2000m")
+	resp, err := (&http.Client{Timeout: limit}).Do(req)
+	if err != nil {
+		return err.Error()
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return fmt.Sprintf("%d %s", resp.StatusCode, b)
+}
+
+// await asks until a server's answer comes.
+func await(t *testing.T, listen, name string) {
+	t.Helper()
+	got := ""
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if got = get(listen); got == "200 "+name {
+			return
+		}
+	}
+	t.Fatalf("the node never came to %s: %q", name, got)
+}
