registry bench; watches on connections of their own

Cause: a watch was a request of net/http for as long as it lasted, with its buffers and two goroutines. It is now one goroutine that writes lines, framed once for all, to the connection. registry bench measures three real processes.

--- a/cmd/umberbank/registry.go
+++ b/cmd/umberbank/registry.go
@@ -27,6 +27,7 @@
 	Backup  registryBackupCmd  `cmd:"" help:"Write all that the registry holds to a file."`
 	Remove  registryRemoveCmd  `cmd:"" help:"Take servers out."`
 	Members registryMembersCmd `cmd:"" help:"Show the replicas, take one in or out."`
+	Bench   registryBenchCmd   `cmd:"" help:"Measure a registry of three processes."`
 	Trial   registryTrialCmd   `cmd:"" help:"Play faults on registries of real processes, and judge what their users saw."`
 }
 
--- /dev/null
+++ b/internal/registry/bench/bench_test.go
@@ -0,0 +1,59 @@
+package bench
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"testing"
+
+	"hollyspur/internal/registry/replica"
+)
+
+// The test binary is the replicas too.
+func TestMain(m *testing.M) {
+	if os.Getenv("BENCH_TEST_REPLICA") == "" {
+		os.Exit(m.Run())
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	cfg, err := replica.ReadConfig(os.Args[len(os.Args)-1])
+	if err != nil {
+		panic(err)
+	}
+	r, err := replica.New(cfg)
+	if err != nil {
+		panic(err)
+	}
+	<-ctx.Done()
+	r.Close()
+}
+
+// A small measurement of real processes gives every figure.
+func TestMeasure(t *testing.T) {
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := Measure(t.Context(), Options{Instances: 200, Watches: 30, Changes: 10, Replica: []string{"/usr/bin/env", "BENCH_TEST_REPLICA=1", self}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.P50 <= 0 || r.P99 < r.P50 || r.Writes <= 0 || r.FailoverMS <= 0 || r.StormS <= 0 || r.Resumed != 1 {
+		t.Errorf("%+v", r)
+	}
+}
+
+func TestHead(t *testing.T) {
+	for text, want := range map[string]struct {
+		rev       int64
+		whole, ok bool
+	}{
+		`{"rev":17,"all":true,"targets":[`: {17, true, true}, `{"rev":18,"all":false,"ta`: {18, false, true},
+		"": {}, `{"all":true}`: {}, `{"rev":x,"all":true`: {0, true, false},
+	} {
+		if rev, whole, ok := parseHead([]byte(text)); rev != want.rev || whole != want.whole || ok != want.ok {
+			t.Errorf("%q: %d, %v, %v", text, rev, whole, ok)
+		}
+	}
+}
--- /dev/null
+++ b/internal/registry/cluster/cluster.go
@@ -0,0 +1,223 @@
+// Package cluster runs the replicas of a registry as processes on loopback, with a relay from each to each.
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"hollyspur/internal/lab/launch"
+	"hollyspur/internal/lab/relay"
+	"hollyspur/internal/registry/client"
+	"hollyspur/internal/registry/replica"
+)
+
+// Cluster is the processes, and the relays from each to each.
+type Cluster struct {
+	command []string
+	dir     string
+	launch  *launch.Launcher
+	nodes   []*member
+	links   map[[2]int]*relay.Relay
+}
+
+type member struct {
+	id, raft, address, config string
+
+	mu    sync.Mutex
+	cmd   *exec.Cmd // nil: it does not run
+	ended chan struct{}
+}
+
+// defaultTick is short, so that elections are.
+const defaultTick = "60ms"
+
+// Free is an address that nobody listens on now. It may be lost to another by the time it is used; starting again
+// tells.
+func Free() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// New makes the files and relays; nothing runs yet.
+func New(command []string, replicas int) (c *Cluster, err error) {
+	c = &Cluster{command: command, launch: launch.New(), links: map[[2]int]*relay.Relay{}}
+	defer func() {
+		if err != nil {
+			c.Close()
+		}
+	}()
+	if c.dir, err = os.MkdirTemp("", "umberbank-trial-"); err != nil {
+		return c, err
+	}
+	for i := range replicas {
+		m := &member{id: fmt.Sprintf("r%d", i), config: filepath.Join(c.dir, fmt.Sprintf("r%d.toml", i))}
+		for _, addr := range []*string{&m.raft, &m.address} {
+			if *addr, err = Free(); err != nil {
+				return c, err
+			}
+		}
+		c.nodes = append(c.nodes, m)
+	}
+	for i, m := range c.nodes {
+		text := fmt.Sprintf("id = %q\ndir = %q\nraft = %q\naddress = %q\ntick = %q\n", m.id, filepath.Join(c.dir, m.id), m.raft, m.address, defaultTick)
+		for j, o := range c.nodes {
+			via := o.raft
+			if i != j {
+				r, err := relay.Listen("127.0.0.1", o.raft)
+				if err != nil {
+					return c, err
+				}
+				c.links[[2]int{i, j}] = r
+				via = r.Addr()
+			}
+			text += fmt.Sprintf("[[peer]]\nid = %q\nraft = %q\naddress = %q\nvia = %q\n", o.id, o.raft, o.address, via)
+		}
+		if err = os.WriteFile(m.config, []byte(text), 0o600); err != nil {
+			return c, err
+		}
+	}
+	return c, nil
+}
+
+// Close ends all that runs and takes the data away.
+func (c *Cluster) Close() {
+	for i := range c.nodes {
+		c.Kill(i)
+	}
+	for _, r := range c.links {
+		r.Close()
+	}
+	c.launch.Close()
+	if c.dir != "" {
+		os.RemoveAll(c.dir)
+	}
+}
+
+// Start starts a replica that does not run.
+func (c *Cluster) Start(i int) error {
+	m := c.nodes[i]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cmd != nil {
+		return nil
+	}
+	log, err := os.OpenFile(filepath.Join(c.dir, m.id+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(c.command[0], append(c.command[1:len(c.command):len(c.command)], "--config", m.config)...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := c.launch.Start(cmd); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	m.cmd, m.ended = cmd, ended
+	go func() {
+		cmd.Wait() // killed, or ended by itself: nothing is served then, which the run shows
+		close(ended)
+	}()
+	return nil
+}
+
+// Kill kills a replica, as a crash does.
+func (c *Cluster) Kill(i int) {
+	m := c.nodes[i]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cmd != nil {
+		m.cmd.Process.Kill()
+		<-m.ended
+		m.cmd = nil
+	}
+}
+
+// Signal gives a replica that runs a signal.
+func (c *Cluster) Signal(i int, s syscall.Signal) {
+	m := c.nodes[i]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cmd != nil {
+		m.cmd.Process.Signal(s)
+	}
+}
+
+// Logs is the end of what a replica wrote.
+func (c *Cluster) Logs(i int) string {
+	text, err := os.ReadFile(filepath.Join(c.dir, c.nodes[i].id+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return strings.TrimSpace(string(text[max(0, len(text)-800):]))
+}
+
+// Addresses are where writers and readers call.
+func (c *Cluster) Addresses() []string {
+	var l []string
+	for _, m := range c.nodes {
+		l = append(l, m.address)
+	}
+	return l
+}
+
+// Len is how many replicas there are, and Name one's id.
+func (c *Cluster) Len() int { return len(c.nodes) }
+
+// Name is a replica's id.
+func (c *Cluster) Name(i int) string { return c.nodes[i].id }
+
+// Dir is where a replica keeps its data.
+func (c *Cluster) Dir(i int) string { return filepath.Join(c.dir, c.nodes[i].id) }
+
+// Pid is a replica's process; 0: it does not run.
+func (c *Cluster) Pid(i int) int {
+	m := c.nodes[i]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cmd == nil {
+		return 0
+	}
+	return m.cmd.Process.Pid
+}
+
+// Links calls f with the relay from each replica to each.
+func (c *Cluster) Links(f func(from, to int, r *relay.Relay)) {
+	for k, r := range c.links {
+		f(k[0], k[1], r)
+	}
+}
+
+// Heal lets every replica run again.
+func (c *Cluster) Heal() {
+	for i := range c.nodes {
+		c.Signal(i, syscall.SIGCONT)
+		c.Start(i) // one that cannot start shows in what follows
+	}
+}
+
+// Leader is the replica that says that it leads, or another.
+func (c *Cluster) Leader(other int) int {
+	for i, m := range c.nodes {
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		w, err := client.NewWriter(client.Options{Endpoints: []string{m.address}})
+		var st replica.Status
+		if err == nil && w.Call(ctx, "GET", "/registry/status", nil, &st) == nil && st.Leads {
+			cancel()
+			return i
+		}
+		cancel()
+	}
+	return other
+}
--- a/internal/registry/replica/api.go
+++ b/internal/registry/replica/api.go
@@ -5,9 +5,10 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/raft"
@@ -56,9 +57,6 @@
 	Replicas map[string]string `json:"replicas"` // as raft has them, by id
 }
 
-// gauge counts what is open.
-type gauge struct{ atomic.Int64 }
-
 func (r *Replica) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /registry/instances", r.instances)
@@ -208,7 +206,7 @@
 func (r *Replica) status(w http.ResponseWriter, _ *http.Request) {
 	_, leader := r.raft.LeaderWithID()
 	st := Status{ID: r.cfg.ID, Leads: r.raft.State() == raft.Leader, Leader: string(leader), Term: r.raft.Stats()["term"],
-		Watchers: r.watchers.Load(), StaleMS: r.staleness().Milliseconds(), Replicas: map[string]string{}}
+		Watchers: r.streams.len(), StaleMS: r.staleness().Milliseconds(), Replicas: map[string]string{}}
 	r.fsm.read(func(s *state.State) {
 		st.Rev, st.Epoch, st.Entries, st.Members = s.Rev(), state.Epoch(s.Rev()), s.Len(), s.Members()
 		for _, e := range s.Entries() {
@@ -255,7 +253,7 @@
 		return
 	}
 	if query.Get("follow") != "" {
-		r.watch(w, q, numbers["since"])
+		r.watch(w, numbers["since"])
 		return
 	}
 	text, rev, err := r.whole()
@@ -296,21 +294,44 @@
 	})
 }
 
-// watch writes changes as they come, until either side ends. A watcher that is ahead of this replica hears nothing until
-// the replica has caught up; one of another epoch takes the whole list. A replica that has lost its leader ends its
-// watches, so that readers go to one that has not.
-func (r *Replica) watch(w http.ResponseWriter, q *http.Request, since int64) {
-	r.watchers.Add(1)
-	defer r.watchers.Add(-1)
-	w.Header().Set("Content-Type", "application/json")
-	control := http.NewResponseController(w)
+// watch hands a reader's connection to a goroutine of its own, which needs a fraction of what a request of net/http does
+// while it lasts.
+func (r *Replica) watch(w http.ResponseWriter, since int64) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		reply(w, nil, err)
+		return
+	}
+	if !r.streams.add(conn) {
+		conn.Close()
+		return
+	}
+	go func() {
+		defer r.streams.remove(conn)
+		r.stream(conn, since)
+	}()
+}
+
+// streamHead begins a watch's answer, and streamBeat is a heartbeat in its framing.
+const (
+	streamHead = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
+	streamBeat = "1\r\n\n\r\n"
+)
+
+// stream writes changes as they come, until either side ends; that the reader has gone shows at a write. A reader that
+// is ahead of this replica hears nothing until the replica has caught up; one of another epoch takes the whole list.
+// A replica that has lost its leader ends its watches, so that readers go to one that has not.
+func (r *Replica) stream(conn net.Conn, since int64) {
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
 	send := func(b []byte) bool {
-		control.SetWriteDeadline(time.Now().Add(writeStall))
-		_, err := w.Write(b)
+		conn.SetWriteDeadline(time.Now().Add(writeStall))
+		_, err := conn.Write(b)
 		return err == nil
 	}
+	if !send([]byte(streamHead)) {
+		return
+	}
 	for {
 		lines, rev, whole, wake, err := r.fsm.hub.after(since)
 		if err != nil {
@@ -321,7 +342,7 @@
 			if err != nil {
 				return
 			}
-			lines, rev, whole = [][]byte{text}, at, false
+			lines, rev, whole = [][]byte{chunk(text)}, at, false
 		}
 		if !whole {
 			for _, l := range lines {
@@ -331,21 +352,72 @@
 			}
 			since = rev
 		}
-		if control.Flush() != nil {
-			return
-		}
 		select {
 		case <-wake:
 		case <-beat.C:
-			if r.staleness() > lostAfter || !send([]byte{'\n'}) {
+			if r.staleness() > lostAfter || !send([]byte(streamBeat)) {
 				return
 			}
-		case <-q.Context().Done():
-			return
 		}
 	}
 }
 
+// chunk frames a line for a watch.
+func chunk(text []byte) []byte {
+	b := make([]byte, 0, len(text)+16)
+	b = strconv.AppendInt(b, int64(len(text)), 16)
+	b = append(b, "\r\n"...)
+	b = append(b, text...)
+	return append(b, "\r\n"...)
+}
+
+// streams are the open watches.
+type streams struct {
+	mu     sync.Mutex
+	open   map[net.Conn]struct{}
+	closed bool
+	ended  sync.WaitGroup
+}
+
+// add counts a watch in; false: no more are taken.
+func (s *streams) add(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	if s.open == nil {
+		s.open = map[net.Conn]struct{}{}
+	}
+	s.open[c] = struct{}{}
+	s.ended.Add(1)
+	return true
+}
+
+func (s *streams) remove(c net.Conn) {
+	c.Close()
+	s.mu.Lock()
+	delete(s.open, c)
+	s.mu.Unlock()
+	s.ended.Done()
+}
+
+func (s *streams) len() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(len(s.open))
+}
+
+// close ends all watches. Their goroutines see it at the next change or heartbeat.
+func (s *streams) close() {
+	s.mu.Lock()
+	s.closed = true
+	for c := range s.open {
+		c.Close()
+	}
+	s.mu.Unlock()
+}
+
 // lostAfter is how long a replica goes on with its watches without a leader.
 const lostAfter = 5 * time.Second
 
--- a/internal/registry/replica/hub.go
+++ b/internal/registry/replica/hub.go
@@ -22,8 +22,8 @@
 
 // line is one change, or several that were applied together, encoded once for all readers.
 type line struct {
-	from, rev int64 // it leads from one revision to the other
-	text      []byte
+	from, rev int64  // it leads from one revision to the other
+	text      []byte // framed for a watch
 	changed   []*state.Entry
 }
 
@@ -50,7 +50,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.lines = append(h.lines, line{h.rev, rev, text, changed})
+	h.lines = append(h.lines, line{h.rev, rev, chunk(text), changed})
 	h.history += len(changed)
 	for h.history > maxHistory && len(h.lines) > 1 {
 		h.history -= len(h.lines[0].changed)
@@ -105,7 +105,7 @@
 	missed := h.lines[at:]
 	if len(missed) > maxBehind {
 		text, err := coalesce(h.rev, missed)
-		return [][]byte{text}, h.rev, false, h.wake, err
+		return [][]byte{chunk(text)}, h.rev, false, h.wake, err
 	}
 	for _, l := range missed {
 		lines = append(lines, l.text)
--- a/internal/registry/replica/replica.go
+++ b/internal/registry/replica/replica.go
@@ -69,7 +69,7 @@
 	asks     chan func(*leases) // for the goroutine that keeps leases
 	done     chan struct{}
 	forward  *http.Client
-	watchers gauge
+	streams  streams
 }
 
 // Defaults.
@@ -156,6 +156,7 @@
 // Close ends the replica; its data stays.
 func (r *Replica) Close() error {
 	r.http.Close()
+	r.streams.close()
 	err := r.raft.Shutdown().Error()
 	<-r.done
 	r.closeFiles()
--- a/internal/registry/replica/replica_test.go
+++ b/internal/registry/replica/replica_test.go
@@ -1,10 +1,14 @@
 package replica
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net/http/httputil"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,11 +38,15 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				lines, rev = [][]byte{text}, at
+				lines, rev = [][]byte{chunk(text)}, at
 			}
 			for _, l := range lines {
 				var m message
-				if err := json.Unmarshal(l, &m); err != nil {
+				text, err := io.ReadAll(httputil.NewChunkedReader(io.MultiReader(bytes.NewReader(l), strings.NewReader("0\r\n\r\n"))))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if err := json.Unmarshal(text, &m); err != nil {
 					t.Fatal(err)
 				}
 				if m.All {
--- a/internal/registry/trial/node_test.go
+++ b/internal/registry/trial/node_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"hollyspur/internal/registry/client"
+	"hollyspur/internal/registry/cluster"
 	"hollyspur/internal/registry/state"
 )
 
@@ -25,13 +26,13 @@
 // replicas are gone, and hears what has changed once they are back.
 func TestNodeFollows(t *testing.T) {
 	t.Parallel()
-	c, err := newCluster(Options{Replicas: 3, Replica: command(t)})
+	c, err := cluster.New(command(t), 3)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.close()
-	for i := range c.nodes {
-		if err := c.start(i); err != nil {
+	defer c.Close()
+	for i := range c.Len() {
+		if err := c.Start(i); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -40,7 +41,7 @@
 		t.Cleanup(s.Close)
 		return &state.Entry{UID: name, Endpoint: strings.TrimPrefix(s.URL, "http://"), Zone: "a", State: state.Serving, Capacity: 1}
 	}
-	w, err := client.NewWriter(client.Options{Endpoints: c.addresses()})
+	w, err := client.NewWriter(client.Options{Endpoints: c.Addresses()})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -49,18 +50,18 @@
 	if _, err := w.Write(ctx, state.Op{Kind: state.Register, Entry: server("one")}); err != nil {
 		t.Fatal(err)
 	}
-	listen := startNode(t, c.nodes[0].address)
+	listen := startNode(t, c.Addresses()[0])
 	await(t, listen, "one")
-	for i := range c.nodes {
-		c.kill(i)
+	for i := range c.Len() {
+		c.Kill(i)
 	}
 	for range 20 {
 		if got := get(listen); got != "200 one" {
 			t.Fatalf("without a registry: %q", got)
 		}
 	}
-	for i := range c.nodes {
-		if err := c.start(i); err != nil {
+	for i := range c.Len() {
+		if err := c.Start(i); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -78,7 +79,7 @@
 	if out, err := exec.Command("go", "build", "-o", bin, "hollyspur/cmd/cranegrade").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	listen, err := free()
+	listen, err := cluster.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
