A checksum on every entry of the registry's log; a spoilt one stops the replica

Case: a byte flipped in log.db. bbolt checks the pages that lead to an entry, not the entry, so the replica would have applied what nobody wrote, and the replicas would have differed for good. Entries now carry a checksum of index, term, type and data; a replica reads its whole log at the start and names the entry that does not fit. Found on the way: a replica that could not start ended in a nil pointer instead of its reason (replica.New closed through the result).

--- /dev/null
+++ b/internal/registry/replica/disk_test.go
@@ -0,0 +1,156 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"hollyspur/internal/registry/client"
+	"hollyspur/internal/registry/state"
+)
+
+// limit is how long anything may take that has to happen.
+const limit = 30 * time.Second
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// open starts a registry of one on a folder.
+func open(t *testing.T, dir string) (*Replica, error) {
+	t.Helper()
+	a, b := freeAddr(t), freeAddr(t)
+	return New(Config{ID: "r0", Dir: dir, Raft: a, Address: b, Peers: []Peer{{ID: "r0", Raft: a, Address: b}}, Tick: 20 * time.Millisecond,
+		SnapshotEvery: 40, Guard: Guard{Share: 0.3, Least: 5, Window: time.Second, Confirm: time.Second}})
+}
+
+func write(t *testing.T, r *Replica, ops ...state.Op) []state.Answer {
+	t.Helper()
+	w, err := client.NewWriter(client.Options{Endpoints: []string{r.Addr()}, RestFirst: time.Millisecond, RestMost: 10 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	a, err := w.Write(ctx, ops...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func register(i int) state.Op {
+	return state.Op{Kind: state.Register, Entry: &state.Entry{UID: fmt.Sprint("s", i), Endpoint: "10.0.0.1:3000", Zone: "zone-of-the-test", State: state.Serving}}
+}
+
+// What was answered is there after a restart, from the log and from snapshots, and revisions go on from where they were.
+func TestRestart(t *testing.T) {
+	dir := t.TempDir()
+	last := int64(0)
+	for round := range 3 {
+		r, err := open(t, dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range 60 {
+			a := write(t, r, register(60*round+i))
+			if a[0].Rev <= last {
+				t.Fatalf("revision %d after %d", a[0].Rev, last)
+			}
+			last = a[0].Rev
+		}
+		if round == 1 {
+			if err := r.raft.Snapshot().Error(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		n := 0
+		r.fsm.read(func(s *state.State) { n = s.Len() })
+		if n != 60*(round+1) {
+			t.Errorf("%d entries in round %d", n, round)
+		}
+		if err := r.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	found := false
+	err := filepath.WalkDir(filepath.Join(dir, "snapshots"), func(path string, d fs.DirEntry, err error) error {
+		found = found || strings.HasSuffix(path, "state.bin")
+		return err
+	})
+	if err != nil || !found {
+		t.Errorf("no snapshot was made: %v", err)
+	}
+}
+
+// A byte that is flipped in the log never becomes part of the State: the replica names the entry and does not start, or
+// the byte was of no matter.
+func TestFlippedByte(t *testing.T) {
+	dir := t.TempDir()
+	r, err := open(t, dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 30 {
+		write(t, r, register(i))
+	}
+	var want []byte
+	r.fsm.read(func(s *state.State) { want, err = s.Snapshot() })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Close(); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, "log.db")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	named := 0
+	for at := bytes.Index(text, []byte("zone-of-the-test")); at >= 0 && named < 10; {
+		spoilt := bytes.Clone(text)
+		spoilt[at] ^= 1
+		if err := os.WriteFile(path, spoilt, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		r, err := open(t, dir)
+		var bad errSpoilt
+		switch {
+		case errors.As(err, &bad):
+			named++
+		case err != nil:
+			t.Fatalf("byte %d: %v", at, err)
+		default: // a page that was let go: nothing may be other than it was
+			write(t, r, state.Op{Kind: state.Nothing})
+			var got []byte
+			r.fsm.read(func(s *state.State) { got, err = s.Snapshot() })
+			if err != nil || !bytes.Equal(got, want) {
+				t.Errorf("byte %d: the State is another (%v)", at, err)
+			}
+			r.Close()
+		}
+		next := bytes.Index(text[at+1:], []byte("zone-of-the-test"))
+		if next < 0 {
+			break
+		}
+		at += 1 + next
+	}
+	if named == 0 {
+		t.Error("no flipped byte was named")
+	}
+}
--- a/internal/registry/replica/replica.go
+++ b/internal/registry/replica/replica.go
@@ -92,11 +92,12 @@
 	if cfg.SnapshotEvery == 0 {
 		cfg.SnapshotEvery = defaultSnapshots
 	}
-	r = &Replica{cfg: cfg, fsm: newFSM(), asks: make(chan func(*leases)), done: make(chan struct{}),
+	made := &Replica{cfg: cfg, fsm: newFSM(), asks: make(chan func(*leases)), done: make(chan struct{}),
 		forward: &http.Client{Timeout: writeWithin}}
+	r = made
 	defer func() {
 		if err != nil {
-			r.closeFiles()
+			made.closeFiles()
 		}
 	}()
 	if err := os.MkdirAll(cfg.Dir, 0o700); err != nil {
@@ -121,6 +122,10 @@
 	if r.store, err = raftboltdb.NewBoltStore(filepath.Join(cfg.Dir, "log.db")); err != nil {
 		return nil, fmt.Errorf("%s: %w", filepath.Join(cfg.Dir, "log.db"), err)
 	}
+	log := checked{r.store}
+	if err := log.verify(); err != nil {
+		return nil, fmt.Errorf("%s: %w", filepath.Join(cfg.Dir, "log.db"), err)
+	}
 	snapshots, err := raft.NewFileSnapshotStoreWithLogger(cfg.Dir, keptSnapshots, logs)
 	if err != nil {
 		return nil, err
@@ -136,12 +141,12 @@
 		for _, p := range cfg.Peers {
 			all.Servers = append(all.Servers, raft.Server{ID: raft.ServerID(p.ID), Address: raft.ServerAddress(p.Raft)})
 		}
-		err := raft.BootstrapCluster(rc, r.store, r.store, snapshots, r.trans, all)
+		err := raft.BootstrapCluster(rc, log, r.store, snapshots, r.trans, all)
 		if err != nil && !errors.Is(err, raft.ErrCantBootstrap) { // it has begun before
 			return nil, err
 		}
 	}
-	if r.raft, err = raft.NewRaft(rc, r.fsm, r.store, r.store, snapshots, r.trans); err != nil {
+	if r.raft, err = raft.NewRaft(rc, r.fsm, log, r.store, snapshots, r.trans); err != nil {
 		return nil, fmt.Errorf("%s: %w", cfg.Dir, err)
 	}
 	go r.lead()
