The lab plays a registry of real processes; its guard counts what ends in all zones

Need: what a registry's outage, a partition and a mass expiry do to nodes under load. [registry] replicas starts replicas, servers hold leases, agents follow. Found with it: Least was asked of each zone, so with three servers a zone the guard never came into force and two thirds of the servers went. It now counts what ends in all zones.

--- a/internal/lab/fault/fault.go
+++ b/internal/lab/fault/fault.go
@@ -3,6 +3,7 @@
 package fault
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -19,6 +20,7 @@
 	From, To time.Duration // To is From if it does not last
 	Nodes    []int         // hit, or whose links are
 	Servers  []int
+	Replicas []int      // of the registry
 	pairs    [][2][]int // of a cut: nodes and servers that lose each other
 	into     []bool     // whether such a pair leads into the zone
 	seed     uint64
@@ -72,6 +74,14 @@
 		e.Nodes = e.some(nodes, r)
 	case scenario.OnServers:
 		e.Servers = e.some(servers, r)
+	case scenario.OnRegistry:
+		var replicas []int
+		for i := range site.Registry.Replicas {
+			if len(e.Names) == 0 || slices.Contains(e.Names, fmt.Sprint("r", i)) {
+				replicas = append(replicas, i)
+			}
+		}
+		e.Replicas = e.some(replicas, r)
 	case scenario.OnLinks:
 		if e.Kind == "cut" {
 			e.cut(site, inside)
@@ -193,6 +203,8 @@
 		p.playLists(e)
 	case scenario.OnLoad:
 		p.playLoad(e)
+	case scenario.OnRegistry:
+		p.during(e, func(on bool) { p.World.Backend.Replicas(e.Replicas, e.Kind, on) })
 	}
 }
 
@@ -217,6 +229,8 @@
 				} else {
 					s.Start()
 				}
+			case "lease-loss":
+				p.World.Backend.Lease(i, !on)
 			case "hang":
 				s.Hang(on)
 			case "slow":
--- a/internal/lab/fleet/discovery.go
+++ b/internal/lab/fleet/discovery.go
@@ -71,15 +71,18 @@
 	if !l.All {
 		whole = f.w.Directory.List(node)
 	}
-	a := f.agents[node]
-	text, all := f.message(node, l), f.message(node, whole)
+	f.agents[node].push(l.Rev+1, f.message(node, l), f.message(node, whole), l.All)
+}
+
+// push gives an agent a change and the whole list that it leads to. anew: what came before does not lead there.
+func (a *agent) push(rev int64, text, whole []byte, anew bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if l.All {
+	if anew {
 		a.lines = nil
 	}
-	a.lines = append(a.lines, line{l.Rev + 1, text})
-	a.rev, a.whole = l.Rev+1, all
+	a.lines = append(a.lines, line{rev, text})
+	a.rev, a.whole = rev, whole
 	close(a.changed)
 	a.changed = make(chan struct{})
 }
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -25,6 +25,7 @@
 
 // Observer hears what only the real fleet can tell, besides what the model tells.
 type Observer interface {
+	Told(node, server int, st model.State)
 	Process(node int, act model.ProcessAct)
 	Stray(node, server int, id, why string)
 	Crashed(node int, why string)
@@ -32,10 +33,11 @@
 
 // Options say how a fleet is run.
 type Options struct {
-	Node   []string // the command of a node; none: this program's own
-	Events []*fault.Event
-	Ready  func(node int) // called on the loop when a node's process serves
-	Log    func(format string, args ...any)
+	Node    []string // the command of a node; none: this program's own
+	Replica []string // and of a replica of the registry, which takes --config FILE
+	Events  []*fault.Event
+	Ready   func(node int) // called on the loop when a node's process serves
+	Log     func(format string, args ...any)
 }
 
 // Fleet is a model.Backend.
@@ -49,14 +51,15 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 
-	links   map[[2]int]*link
-	agents  []*agent
-	procs   []*process
-	pools   []*pool
-	servers []*http.Server
-	calls   map[string]*model.Call // in hand; the loop's
-	launch  *launch.Launcher
-	running sync.WaitGroup
+	links    map[[2]int]*link
+	agents   []*agent
+	procs    []*process
+	pools    []*pool
+	servers  []*http.Server
+	calls    map[string]*model.Call // in hand; the loop's
+	registry *registry              // nil: discovery is the model's
+	launch   *launch.Launcher
+	running  sync.WaitGroup
 }
 
 // link is the way from a node to a server.
@@ -97,6 +100,7 @@
 			return nil, err
 		}
 		opt.Node = []string{self, "node"}
+		opt.Replica = cmpOr(opt.Replica, []string{self, "registry", "serve"})
 	}
 	f = &Fleet{w: w, opt: opt, observer: o, links: map[[2]int]*link{}, calls: map[string]*model.Call{}, began: time.Now()}
 	defer func() {
@@ -120,6 +124,11 @@
 	if err = f.startAgents(); err != nil {
 		return f, err
 	}
+	if w.Site.Registry.Replicas > 0 {
+		if err = f.startRegistry(); err != nil {
+			return f, err
+		}
+	}
 	for i := range w.Site.Nodes {
 		f.procs = append(f.procs, &process{f: f, node: i})
 		f.pools = append(f.pools, newPool(f.nodeAddr(i)))
@@ -127,6 +136,13 @@
 	return f, nil
 }
 
+func cmpOr(a, b []string) []string {
+	if len(a) > 0 {
+		return a
+	}
+	return b
+}
+
 // raiseLimit asks for as many descriptors as the system gives; a site of many links wants thousands.
 func raiseLimit() {
 	var l syscall.Rlimit
@@ -204,6 +220,9 @@
 			p.cmd.Process.Kill()
 		}
 	}
+	if f.registry != nil {
+		f.registry.close()
+	}
 	for _, s := range f.servers {
 		s.Close()
 	}
@@ -351,6 +370,9 @@
 
 // ServerDown ends a server's connections.
 func (f *Fleet) ServerDown(server int, silent bool) {
+	if f.registry != nil {
+		f.registry.release(server)
+	}
 	f.eachLink(server, func(l *link) {
 		e := &relay.Effect{Refuse: true}
 		if silent {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -25,6 +25,7 @@
 type Options struct {
 	Seed     uint64
 	Virtual  bool
+	Replica  []string                                                        // the command of a replica of the registry, which takes --config FILE; none: this program's own
 	Node     []string                                                        // the command of a node; none: this program's own
 	Progress func(done, total time.Duration)                                 // called about once a second of the run; may be nil
 	Log      func(format string, args ...any)                                // what nodes write and what befalls them; may be nil
@@ -233,6 +234,9 @@
 		for _, n := range e.Nodes {
 			m.Nodes = append(m.Nodes, r.site.Nodes[n].Name)
 		}
+		for _, i := range e.Replicas {
+			m.Nodes = append(m.Nodes, fmt.Sprint("r", i))
+		}
 		for _, s := range e.Servers {
 			m.Servers = append(m.Servers, r.site.Servers[s].Name)
 		}
@@ -411,6 +415,9 @@
 // ---- The two clocks ----
 
 func (r *run) playVirtual(ctx context.Context) error {
+	if r.site.Registry.Replicas > 0 {
+		return errors.New("a registry is played by real processes alone; --set registry.replicas=0 plays plain discovery")
+	}
 	mk := r.opt.Module
 	if mk == nil {
 		mk = func(s hollyspur.Settings, seed uint64) (virtual.Module, error) { return hollyspur.New(s, seed) }
@@ -441,7 +448,7 @@
 
 func (r *run) playReal(ctx context.Context) error {
 	events := fault.Plan(r.site)
-	f, err := fleet.New(r.world, r.oracle, fleet.Options{Node: r.opt.Node, Events: events, Ready: r.ready, Log: r.opt.Log})
+	f, err := fleet.New(r.world, r.oracle, fleet.Options{Node: r.opt.Node, Replica: r.opt.Replica, Events: events, Ready: r.ready, Log: r.opt.Log})
 	if err != nil {
 		return err
 	}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -21,6 +21,7 @@
 	"hollyspur/internal/lab/oracle"
 	"hollyspur/internal/lab/scenario"
 	"hollyspur/internal/node"
+	"hollyspur/internal/registry/replica"
 	"hollyspur/labs"
 )
 
@@ -36,6 +37,19 @@
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
+	case "replica":
+		ctx, stop := signalContext()
+		defer stop()
+		cfg, err := replica.ReadConfig(os.Args[len(os.Args)-1])
+		if err != nil {
+			panic(err)
+		}
+		r, err := replica.New(cfg)
+		if err != nil {
+			panic(err)
+		}
+		<-ctx.Done()
+		r.Close()
 	default:
 		wrongNode(mode)
 	}
@@ -92,7 +106,7 @@
 			t.Parallel()
 			var before []byte
 			for range 2 {
-				s := shipped(t, f.Name())
+				s := shipped(t, f.Name(), "registry.replicas=0")
 				if s.Nodes > 100 { // the same at a hundredth
 					s.Nodes, s.Tiers[0].Servers, s.Load.Rate = s.Nodes/100, s.Tiers[0].Servers/100, s.Load.Rate/100
 				}
@@ -198,6 +212,43 @@
 	}
 }
 
+// A registry of real processes in place of the model's discovery: it is killed while servers die and drain, and the site
+// serves on, by the rules; back again, it tells of what is gone.
+func TestRegistryOutage(t *testing.T) {
+	t.Parallel()
+	text := small + `
+[registry]
+replicas = 3
+ttl = "500ms"
+[[fault]]
+kind = "registry-kill"
+at = "500ms"
+for = "1s"
+[[fault]]
+kind = "crash"
+at = "700ms"
+for = "1500ms"
+names = ["web-1"]
+[[fault]]
+kind = "drain"
+at = "2s"
+for = "500ms"
+names = ["web-2"]
+[[fault]]
+kind = "registry-stop"
+at = "2s"
+for = "300ms"
+count = 1
+`
+	r := play(t, parse(t, text), Options{Node: nodeCommand(t, "right"), Replica: nodeCommand(t, "replica")})
+	if r.RulesBroken > 0 || r.Valid && r.Served < 0.8 {
+		t.Errorf("served %.3f, broken %v: %+v", r.Served, r.Rules, r.Violations)
+	}
+	if _, err := Run(t.Context(), parse(t, text), Options{Seed: 1, Virtual: true}); err == nil {
+		t.Error("a registry was played on the virtual clock")
+	}
+}
+
 // The oracle names each rule that a wrong node breaks, with the request and how it went, and names none where the
 // right one is in its place.
 func TestOracleIsProven(t *testing.T) {
--- a/internal/lab/model/directory.go
+++ b/internal/lab/model/directory.go
@@ -45,6 +45,9 @@
 
 // Change enters a server's new state and sends it out.
 func (d *Directory) Change(server int, st State) {
+	if d.w.Backend.Publish(server, st) {
+		return // the registry tells
+	}
 	e := Entry{server, st, d.w.Servers[server].boot}
 	d.log = append(d.log, e)
 	rev := int64(len(d.log))
--- a/internal/lab/model/model.go
+++ b/internal/lab/model/model.go
@@ -105,6 +105,12 @@
 	ServerDown(server int, silent bool)
 	// ServerUp lets connections come again.
 	ServerUp(server int)
+	// Publish tells the registry of a server's state, where there is one; false: there is none.
+	Publish(server int, st State) bool
+	// Lease lets a server's heartbeats reach the registry, or not.
+	Lease(server int, reach bool)
+	// Replicas does something to replicas of the registry, or ends it. What is a fault's kind.
+	Replicas(replicas []int, what string, on bool)
 }
 
 // Observer sees what happens at servers and what nodes are told; the oracle is one.
--- a/internal/lab/model/server_test.go
+++ b/internal/lab/model/server_test.go
@@ -28,6 +28,9 @@
 func (*nobody) Process(int, ProcessAct)             {}
 func (*nobody) Links(_, _ []int, _ *Effect, _ bool) {}
 func (*nobody) ServerDown(int, bool)                {}
+func (*nobody) Publish(int, State) bool             { return false }
+func (*nobody) Lease(int, bool)                     {}
+func (*nobody) Replicas([]int, string, bool)        {}
 func (*nobody) ServerUp(int)                        {}
 
 const one = `nodes = 1
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -13,6 +13,7 @@
 		Nodes:     2,
 		Clients:   Clients{Retries: 2, Backoff: Duration(200 * time.Millisecond), TryShare: 0.55, Impatient: 0.03, Honour: 0.2, MarksRetry: true},
 		Discovery: Discovery{Delay: []Duration{Duration(300 * time.Millisecond), Duration(1500 * time.Millisecond)}, Period: Duration(200 * time.Millisecond), Notice: Duration(4 * time.Second), Front: Duration(2 * time.Second)},
+		Registry:  Registry{TTL: Duration(2 * time.Second)},
 		Net:       Net{Same: Duration(200 * time.Microsecond), Cross: Duration(2 * time.Millisecond)},
 		Limits: Limits{MaxAttempts: 6, SecondCopies: true, Cancel: true, RetryAfter: Duration(2 * time.Second),
 			Connect: Duration(250 * time.Millisecond), Idle: Duration(30 * time.Second), DrainWithin: Duration(500 * time.Millisecond),
@@ -149,6 +150,8 @@
 	c.must(s.Discovery.Period > 0, "discovery.period", "is not above 0")
 	c.must(s.Discovery.Notice >= 0, "discovery.notice", "is negative")
 	c.must(s.Discovery.Front >= 0, "discovery.front_notice", "is negative")
+	c.must(s.Registry.Replicas >= 0 && s.Registry.Replicas <= 7, "registry.replicas", "%d is not between 0 and 7", s.Registry.Replicas)
+	c.must(s.Registry.TTL >= Duration(500*time.Millisecond), "registry.ttl", "%v is below 500ms", s.Registry.TTL)
 	c.must(s.Net.Same >= 0, "net.same_zone", "is negative")
 	c.must(s.Net.Cross >= 0, "net.cross_zone", "is negative")
 	s.Limits.check(c)
@@ -230,6 +233,8 @@
 	OnLinks   = "links"
 	OnLists   = "lists"
 	OnLoad    = "load"
+	// OnRegistry hits replicas of the registry, and nothing where there are none.
+	OnRegistry = "replicas"
 )
 
 // Target says what each kind of fault hits.
@@ -240,6 +245,8 @@
 	"delay": OnLinks, "silence": OnLinks, "refuse": OnLinks, "reset": OnLinks, "trickle": OnLinks, "cut": OnLinks,
 	"stale": OnLists, "empty": OnLists, "shrink": OnLists, "reorder": OnLists,
 	"burst": OnLoad, "heavy": OnLoad,
+	"registry-kill": OnRegistry, "registry-stop": OnRegistry, "registry-cut": OnRegistry,
+	"lease-loss": OnServers, // the server runs on, but its heartbeats do not reach the registry
 }
 
 func (f *Fault) check(c *checker, at string, s *Scenario, zones, regions, tiers, classes []string) {
@@ -251,6 +258,7 @@
 	c.must(f.Repeat <= 1 || f.Every > 0, at+".every", "missing: a repeated fault wants the time from one to the next")
 	c.must(f.Zone == "" || slices.Contains(zones, f.Zone), at+".zone", "no zone %q", f.Zone)
 	c.must(f.Region == "" || slices.Contains(regions, f.Region), at+".region", "no region %q", f.Region)
+	c.must(target != OnLists || s.Registry.Replicas == 0, at+".kind", "%q spoils the model's own lists, and here the registry gives them", f.Kind)
 	c.must(f.Kind != "cut" || f.Zone != "" || f.Region != "", at+".zone", "missing: the zone (or region) that is cut off")
 	c.must(f.Tier == "" || slices.Contains(tiers, f.Tier), at+".tier", "no tier %q", f.Tier)
 	c.must(f.Class == "" || slices.Contains(classes, f.Class), at+".class", "no class %q", f.Class)
@@ -271,9 +279,12 @@
 	}
 	known = true
 	for _, n := range f.Names {
-		if target == OnNodes || target == OnLists {
+		switch target {
+		case OnNodes, OnLists:
 			known = known && s.hasNode(n)
-		} else {
+		case OnRegistry:
+			known = known && (s.Registry.Replicas == 0 || slices.Contains(s.replicas(), n))
+		default:
 			known = known && s.hasServer(n)
 		}
 		c.must(known, at+".names", "no %q among the %s", n, target)
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -40,6 +40,7 @@
 	Load      Load      `toml:"load"`
 	Clients   Clients   `toml:"clients"`
 	Discovery Discovery `toml:"discovery"`
+	Registry  Registry  `toml:"registry"`
 	Net       Net       `toml:"net"`
 	Limits    Limits    `toml:"limits"`
 	Faults    []Fault   `toml:"fault"`
@@ -126,6 +127,13 @@
 	Front  Duration   `toml:"front_notice"`
 }
 
+// Registry is discovery by the project's own registry, on real processes. With no replicas it is as Discovery says.
+type Registry struct {
+	Replicas int      `toml:"replicas"`
+	TTL      Duration `toml:"ttl"`      // of a server's lease
+	NoGuard  bool     `toml:"no_guard"` // believe every lease that ends, to see what the guard is for
+}
+
 // Net is the time messages take; on the real clock the machine adds its own.
 type Net struct {
 	Same  Duration `toml:"same_zone"`
--- a/internal/lab/scenario/site.go
+++ b/internal/lab/scenario/site.go
@@ -138,6 +138,15 @@
 	return false
 }
 
+// replicas are the names of the registry's.
+func (s *Scenario) replicas() []string {
+	var l []string
+	for i := range s.Registry.Replicas {
+		l = append(l, fmt.Sprint("r", i))
+	}
+	return l
+}
+
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
 // Size is the server's capacity as discovery tells it: about the true one.
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -238,6 +238,15 @@
 // ServerUp lets connections come again.
 func (f *Fleet) ServerUp(s int) { delete(f.down, s); delete(f.quiet, s) }
 
+// Publish has no registry to tell.
+func (f *Fleet) Publish(int, model.State) bool { return false }
+
+// Lease has none either.
+func (f *Fleet) Lease(int, bool) {}
+
+// Replicas has no replicas.
+func (f *Fleet) Replicas([]int, string, bool) {}
+
 // link is what the way between a node and a server does now: the time one message takes each way, and whether it
 // arrives.
 type link struct {
--- a/internal/registry/bench/bench.go
+++ b/internal/registry/bench/bench.go
@@ -80,7 +80,7 @@
 	}
 	// Much of a process's memory is what waits to be collected; little of it with this, so that watches show.
 	o.Replica = append([]string{"/usr/bin/env", "GOGC=" + collect}, o.Replica...)
-	c, err := cluster.New(o.Replica, replicas)
+	c, err := cluster.New(o.Replica, replicas, "")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/registry/cluster/cluster.go
+++ b/internal/registry/cluster/cluster.go
@@ -50,8 +50,9 @@
 	return ln.Addr().String(), nil
 }
 
-// New makes the files and relays; nothing runs yet.
-func New(command []string, replicas int) (c *Cluster, err error) {
+// New makes the files and relays; nothing runs yet. The command takes --config FILE; more stands at the end of each
+// file.
+func New(command []string, replicas int, more string) (c *Cluster, err error) {
 	c = &Cluster{command: command, launch: launch.New(), links: map[[2]int]*relay.Relay{}}
 	defer func() {
 		if err != nil {
@@ -84,7 +85,7 @@
 			}
 			text += fmt.Sprintf("[[peer]]\nid = %q\nraft = %q\naddress = %q\nvia = %q\n", o.id, o.raft, o.address, via)
 		}
-		if err = os.WriteFile(m.config, []byte(text), 0o600); err != nil {
+		if err = os.WriteFile(m.config, []byte(text+more), 0o600); err != nil {
 			return c, err
 		}
 	}
--- a/internal/registry/replica/leases.go
+++ b/internal/registry/replica/leases.go
@@ -10,8 +10,8 @@
 
 // Guard says when ended leases are not believed.
 //
-// A lease that ends is believed, and its entry goes, unless within Window the leases of more than Share of a zone's
-// entries, and of at least Least, have ended. Then that zone's entries stay as suspects. If every other zone (and
+// A lease that ends is believed, and its entry goes, unless within Window at least Least leases have ended, and with them
+// those of more than Share of the zone's entries. Then that zone's entries stay as suspects. If every other zone (and
 // there is one) renews as ever, the zone is taken for lost after Confirm, and its suspects go. If two zones or more
 // end together, or there is no other, the fault is likelier between the registry and the servers: suspects
 // stay until they renew, or an operator says that they are gone.
@@ -91,6 +91,7 @@
 	type zone struct{ all, lost int }
 	zones := map[string]*zone{}
 	var ended []string
+	lost := 0
 	var ops []state.Op
 	for uid, h := range l.byUID {
 		z := zones[h.zone]
@@ -111,11 +112,12 @@
 		ended = append(ended, uid)
 		if now-h.ended <= l.guard.Window || h.suspect {
 			z.lost++
+			lost++
 		}
 	}
 	massive := map[string]bool{}
 	for name, z := range zones {
-		if z.lost >= l.guard.Least && float64(z.lost) > l.guard.Share*float64(z.all) {
+		if lost >= l.guard.Least && float64(z.lost) > l.guard.Share*float64(z.all) {
 			massive[name] = true
 		}
 	}
--- a/internal/registry/trial/node_test.go
+++ b/internal/registry/trial/node_test.go
@@ -26,7 +26,7 @@
 // replicas are gone, and hears what has changed once they are back.
 func TestNodeFollows(t *testing.T) {
 	t.Parallel()
-	c, err := cluster.New(command(t), 3)
+	c, err := cluster.New(command(t), 3, "")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/registry/trial/trial.go
+++ b/internal/registry/trial/trial.go
@@ -83,7 +83,7 @@
 		}
 		opt.Replica = []string{self, "registry", "serve"}
 	}
-	c, err := cluster.New(opt.Replica, opt.Replicas)
+	c, err := cluster.New(opt.Replica, opt.Replicas, "")
 	if err != nil {
 		return nil, err
 	}
