--- a/cmd/umberbank/registry.go
+++ b/cmd/umberbank/registry.go
@@ -207,7 +207,7 @@
 	ctx, cancel := context.WithCancel(a.ctx)
 	defer cancel()
 	n := 0
-	err = r.Run(ctx, func() {
+	err = r.Run(ctx, func(client.Update) {
 		v := r.View()
 		fmt.Fprintf(a.out, "revision %d: %d entries\n", v.Rev, len(v.Entries))
 		if n++; n == c.Count {
--- a/internal/lab/fleet/registry.go
+++ b/internal/lab/fleet/registry.go
@@ -229,7 +229,7 @@
 	there := make(chan struct{})
 	first := true
 	r.running.Go(func() {
-		reader.Run(r.ctx, func() {
+		reader.Run(r.ctx, func(client.Update) {
 			view := r.entries(node, reader.View())
 			rev := reader.View().Rev
 			if first {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -24,6 +24,7 @@
 	MemoryMB  float64 // 0: not told
 	Sockets   int     // file descriptors that the process may hold
 	Known     List    // the servers as this node last had them
+	Registry  Registry
 	Settings  hollyspur.Settings
 	Conns     wire.Connections
 	shape     any // the file as decoded, for a later one to be compared with
@@ -62,13 +63,14 @@
 			Sockets  int     `json:"sockets"`
 		} `json:"limits"`
 		Known    json.RawMessage `json:"known"`
+		Registry Registry        `json:"registry"`
 		Settings json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(text, &raw); err != nil {
 		return Config{}, err
 	}
 	c := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Control: raw.Control,
-		Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets}
+		Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets, Registry: raw.Registry}
 	err := json.Unmarshal(text, &c.shape)
 	if err != nil {
 		return Config{}, err
@@ -78,6 +80,11 @@
 			return Config{}, fmt.Errorf("%s: %q is no host:port", a.name, a.addr)
 		}
 	}
+	for i, addr := range c.Registry.Endpoints {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return Config{}, fmt.Errorf("registry.endpoints[%d]: %q is no host:port", i, addr)
+		}
+	}
 	if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
 		return Config{}, fmt.Errorf("seed: %q is no hexadecimal number of 64 bits", raw.Seed)
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -91,6 +91,7 @@
 	nextID    uint64
 	stopWatch context.CancelFunc
 	watching  bool          // a watch was opened; a broken one is opened again
+	elsewhere bool          // the list comes from a registry, and discovery is not asked
 	rest      time.Duration // before the last watch that was opened again
 }
 
@@ -446,6 +447,9 @@
 
 // subscribe opens a watch in place of the one before.
 func (l *loop) subscribe() {
+	if l.elsewhere {
+		return
+	}
 	l.stopWatch()
 	ctx, cancel := context.WithCancel(context.Background())
 	l.stopWatch, l.watching = cancel, true
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"hollyspur"
+	"hollyspur/internal/registry/client"
 )
 
 // Node is one real node.
@@ -23,11 +24,12 @@
 	turn     *turn    // nil: the process is not replaced while it serves
 	control  *control // nil: no address was told
 	known    List
-	linger   time.Duration // how long a stopping node goes on as before
-	patience atomic.Int64  // how long callers may wait for what a stopping node has taken
-	shape    any           // of the configuration in force; see Config
-	serving  atomic.Bool   // callers are served
-	stopping atomic.Bool   // and will not be much longer
+	registry *client.Reader // nil: the node follows discovery
+	linger   time.Duration  // how long a stopping node goes on as before
+	patience atomic.Int64   // how long callers may wait for what a stopping node has taken
+	shape    any            // of the configuration in force; see Config
+	serving  atomic.Bool    // callers are served
+	stopping atomic.Bool    // and will not be much longer
 }
 
 // reserved descriptors are for the listener, the watch, the log and the runtime.
@@ -52,6 +54,11 @@
 	n := &Node{loop: l, front: newFront(l), cfg: cfg, known: cfg.Known, linger: linger,
 		listener: newLimitListener(persistentListener{listener}, 1)}
 	n.setShare(1)
+	if err := n.followRegistry(); err != nil {
+		listener.Close()
+		return nil, fmt.Errorf("registry: %w", err)
+	}
+	l.elsewhere = n.registry != nil
 	if cfg.AcceptFD > 0 {
 		if n.turn, err = newTurn(os.TempDir(), cfg.Name); err != nil {
 			listener.Close()
@@ -147,6 +154,9 @@
 		}
 		n.serving.Store(true)
 	})
+	if n.registry != nil {
+		go n.readRegistry(running)
+	}
 	defer n.front.drain.off()
 	if n.turn != nil {
 		defer n.turn.close()
--- a/internal/registry/client/client.go
+++ b/internal/registry/client/client.go
@@ -29,6 +29,9 @@
 	"hollyspur/internal/registry/state"
 )
 
+// Update is news from the registry: the whole list, or the entries that have changed, Deleted ones among them.
+type Update = message
+
 // message is a line of a watch, or a whole list.
 type message struct {
 	Rev     int64          `json:"rev"`
@@ -125,9 +128,9 @@
 	return v
 }
 
-// Run follows the registry until ctx ends, and calls changed after each change. Whatever ends a watch, it goes on at
+// Run follows the registry until ctx ends, and calls changed with each change, once it is applied. Whatever ends a watch, it goes on at
 // another replica after a rest.
-func (r *Reader) Run(ctx context.Context, changed func()) error {
+func (r *Reader) Run(ctx context.Context, changed func(Update)) error {
 	at := mrand.IntN(len(r.opt.Endpoints))
 	rests := r.opt.rests()
 	for ctx.Err() == nil {
@@ -146,7 +149,7 @@
 }
 
 // watch follows one replica and returns why that ended.
-func (r *Reader) watch(ctx context.Context, endpoint string, changed func()) error {
+func (r *Reader) watch(ctx context.Context, endpoint string, changed func(Update)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	quiet := time.AfterFunc(r.opt.Silence, func() { cancel(errSilent) })
@@ -172,9 +175,9 @@
 			return err // and what came of a line without its end is dropped
 		}
 		quiet.Reset(r.opt.Silence)
+		var m message
 		news := len(bytes.TrimSpace(text)) > 0
 		if news {
-			var m message
 			if err := json.Unmarshal(text, &m); err != nil {
 				return err
 			}
@@ -192,7 +195,7 @@
 			if r.opt.Cache != "" {
 				r.keep()
 			}
-			changed()
+			changed(m)
 		}
 	}
 }
--- a/internal/registry/client/client_test.go
+++ b/internal/registry/client/client_test.go
@@ -80,7 +80,7 @@
 	done := make(chan error, 1)
 	reached := false
 	go func() {
-		done <- r.Run(ctx, func() {
+		done <- r.Run(ctx, func(Update) {
 			if want(r.View()) {
 				reached = true
 				cancel()
--- a/internal/registry/replica/replica_test.go
+++ b/internal/registry/replica/replica_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/raft"
 	"pgregory.net/rapid"
 
 	"hollyspur/internal/registry/state"
@@ -177,3 +178,28 @@
 		t.Error("a lease is renewed by its token alone")
 	}
 }
+
+// What one change costs a replica, from the log to the line that all watchers get: it does not go with the list's length.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := newFSM()
+			apply := func(ops ...state.Op) {
+				text, err := json.Marshal(command{Ops: ops})
+				if err != nil {
+					b.Fatal(err)
+				}
+				if a := f.Apply(&raft.Log{Type: raft.LogCommand, Data: text}).(answers); a.err != nil || a.list[0].Fault != "" {
+					b.Fatalf("%+v", a)
+				}
+			}
+			for i := range n {
+				apply(state.Op{Kind: state.Register, Entry: &state.Entry{UID: fmt.Sprint("s", i), Endpoint: "10.0.0.1:3000", State: state.Serving}})
+			}
+			for i := 0; b.Loop(); i++ {
+				capacity := float64(i + 1)
+				apply(state.Op{Kind: state.Update, UID: fmt.Sprint("s", i%n), Capacity: &capacity})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/registry/trial/members_test.go
@@ -0,0 +1,86 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"hollyspur/internal/registry/client"
+	"hollyspur/internal/registry/cluster"
+	"hollyspur/internal/registry/replica"
+	"hollyspur/internal/registry/state"
+)
+
+// A replica is replaced while others write: the new one is taken in and catches up, the old one goes out and dies, and
+// all that was answered is there, in an order that goes on.
+func TestReplace(t *testing.T) {
+	t.Parallel()
+	c, err := cluster.New(command(t), 3, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for i := range c.Len() {
+		if err := c.Start(i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	raft, err := cluster.Free()
+	if err != nil {
+		t.Fatal(err)
+	}
+	address, err := cluster.Free()
+	if err != nil {
+		t.Fatal(err)
+	}
+	next, err := replica.New(replica.Config{ID: "r9", Dir: t.TempDir(), Raft: raft, Address: address, Tick: 60 * time.Millisecond,
+		Guard: replica.Guard{Share: 0.3, Least: 5, Window: time.Second, Confirm: time.Second}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer next.Close()
+	w, err := client.NewWriter(client.Options{Endpoints: append(c.Addresses(), address)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	written, last := 0, int64(0)
+	write := func(n int) {
+		for range n {
+			a, err := w.Write(ctx, state.Op{Kind: state.Register, Entry: &state.Entry{UID: fmt.Sprint("s", written), Endpoint: "a:1", State: state.Serving}})
+			if err != nil || a[0].Fault != "" || a[0].Rev <= last {
+				t.Fatalf("write %d: %+v after %d, %v", written, a, last, err)
+			}
+			last = a[0].Rev
+			written++
+		}
+	}
+	write(50)
+	old := c.Leader(0) // the one whose going hurts most
+	for _, change := range []map[string]any{{"add": replica.Peer{ID: "r9", Raft: raft, Address: address}}, {"remove": c.Name(old)}} {
+		if err := w.Call(ctx, "POST", "/registry/members", change, &struct{}{}); err != nil {
+			t.Fatal(err)
+		}
+		write(20)
+	}
+	c.Kill(old)
+	if err := os.RemoveAll(filepath.Join(c.Dir(old), "snapshots")); err != nil {
+		t.Fatal(err)
+	}
+	write(20)
+	only, err := client.NewWriter(client.Options{Endpoints: []string{address}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var l list
+	if err := only.Call(ctx, "GET", fmt.Sprintf("/registry/instances?at_least=%d", last), nil, &l); err != nil {
+		t.Fatal(err)
+	}
+	if len(l.Targets) != written || l.Rev < last {
+		t.Errorf("the new replica has %d entries of %d, at %d of %d", len(l.Targets), written, l.Rev, last)
+	}
+}
--- a/internal/registry/trial/node_test.go
+++ b/internal/registry/trial/node_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -50,14 +51,29 @@
 	if _, err := w.Write(ctx, state.Op{Kind: state.Register, Entry: server("one")}); err != nil {
 		t.Fatal(err)
 	}
-	listen := startNode(t, c.Addresses()[0])
-	await(t, listen, "one")
+	follow := map[string]map[string]any{
+		"as discovery": {"discovery": c.Addresses()[0]},
+		"as registry":  {"discovery": "127.0.0.1:1", "registry": map[string]any{"endpoints": c.Addresses()}},
+	}
+	nodes := map[string]string{}
+	for name, keys := range follow {
+		nodes[name] = startNode(t, keys)
+		await(t, nodes[name], "one")
+	}
+	// One with all endpoints hears changes while any replica serves.
+	c.Kill(0)
+	if _, err := w.Write(ctx, state.Op{Kind: state.Remove, UID: "one"}, state.Op{Kind: state.Register, Entry: server("more")}); err != nil {
+		t.Fatal(err)
+	}
+	await(t, nodes["as registry"], "more")
 	for i := range c.Len() {
 		c.Kill(i)
 	}
 	for range 20 {
-		if got := get(listen); got != "200 one" {
-			t.Fatalf("without a registry: %q", got)
+		for name, want := range map[string]string{"as discovery": "200 one", "as registry": "200 more"} {
+			if got := get(nodes[name]); got != want {
+				t.Fatalf("%s, without a registry: %q", name, got)
+			}
 		}
 	}
 	for i := range c.Len() {
@@ -65,14 +81,16 @@
 			t.Fatal(err)
 		}
 	}
-	if _, err := w.Write(ctx, state.Op{Kind: state.Remove, UID: "one"}, state.Op{Kind: state.Register, Entry: server("two")}); err != nil {
+	if _, err := w.Write(ctx, state.Op{Kind: state.Remove, UID: "more"}, state.Op{Kind: state.Register, Entry: server("two")}); err != nil {
 		t.Fatal(err)
 	}
-	await(t, listen, "two")
+	for name := range follow {
+		await(t, nodes[name], "two")
+	}
 }
 
-// startNode runs bin/cranegrade's program with a replica as its discovery, and gives where it listens.
-func startNode(t *testing.T, discovery string) string {
+// startNode runs bin/cranegrade's program with the keys that say whom it follows, and gives where it listens.
+func startNode(t *testing.T, follow map[string]any) string {
 	t.Helper()
 	dir := t.TempDir()
 	bin := filepath.Join(dir, "cranegrade")
@@ -83,9 +101,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	config, err := json.Marshal(map[string]any{"name": "n0", "listen": listen, "discovery": discovery, "seed": "1f",
+	keys := map[string]any{"name": "n0", "listen": listen, "seed": "1f",
 		"settings": map[string]any{"registry-mode": "pushed", "lanes": []any{map[string]any{"name": "read", "effect": "read_like", "target-ms": 1000, "deadline-ms": 2000}},
-			"limits": map[string]any{"max-attempts": 3}}})
+			"limits": map[string]any{"max-attempts": 3}}}
+	maps.Copy(keys, follow)
+	config, err := json.Marshal(keys)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/registry/trial/trial.go
+++ b/internal/registry/trial/trial.go
@@ -126,7 +126,7 @@
 		if readers[i], err = client.NewReader(client.Options{Endpoints: addresses, Silence: 3 * time.Second, RestMost: 300 * time.Millisecond}); err != nil {
 			return nil, err
 		}
-		watching.Go(func() { readers[i].Run(watchCtx, func() { h.watched(i, readers[i].View()) }) })
+		watching.Go(func() { readers[i].Run(watchCtx, func(client.Update) { h.watched(i, readers[i].View()) }) })
 	}
 	if err := play(ctx, c, opt, res); err != nil {
 		return nil, err
