--- a/internal/registry/cluster/cluster.go
+++ b/internal/registry/cluster/cluster.go
@@ -31,9 +31,10 @@
 type member struct {
 	id, raft, address, config string
 
-	mu    sync.Mutex
-	cmd   *exec.Cmd // nil: it does not run
-	ended chan struct{}
+	mu      sync.Mutex
+	command []string  // its own; nil: the cluster's
+	cmd     *exec.Cmd // nil: it does not run
+	ended   chan struct{}
 }
 
 // defaultTick is short, so that elections are.
@@ -119,7 +120,11 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(c.command[0], append(c.command[1:len(c.command):len(c.command)], "--config", m.config)...)
+	command := c.command
+	if m.command != nil {
+		command = m.command
+	}
+	cmd := exec.Command(command[0], append(command[1:len(command):len(command)], "--config", m.config)...)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := c.launch.Start(cmd); err != nil {
 		return err
@@ -173,6 +178,14 @@
 	return l
 }
 
+// Command gives a replica a command of its own from its next start on.
+func (c *Cluster) Command(i int, command []string) {
+	m := c.nodes[i]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.command = command
+}
+
 // Len is how many replicas there are, and Name one's id.
 func (c *Cluster) Len() int { return len(c.nodes) }
 
--- a/internal/registry/trial/trial_test.go
+++ b/internal/registry/trial/trial_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httputil"
@@ -32,6 +33,7 @@
 	if err != nil {
 		panic(err)
 	}
+	cfg.Log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn}))
 	r, err := replica.New(cfg)
 	if err != nil {
 		panic(err)
