Wait for every replica before measuring or following a registry

Observed: registry bench once ended with a refused connection. Cause: two of three replicas answer writes while the third still starts, and its watchers were opened before it listened. The cluster is now awaited replica by replica, and one that does not come is named with what it wrote.

--- a/internal/lab/fleet/registry.go
+++ b/internal/lab/fleet/registry.go
@@ -65,13 +65,9 @@
 	for i := range f.w.Site.Servers {
 		r.index[f.w.Site.Servers[i].Name] = i
 	}
-	w, err := client.NewWriter(client.Options{Endpoints: c.Addresses()})
-	if err != nil {
+	if err := c.Await(starting); err != nil {
 		return err
 	}
-	if _, err := w.Write(starting, state.Op{Kind: state.Nothing}); err != nil {
-		return fmt.Errorf("the registry did not start: %w: %s", err, c.Logs(0))
-	}
 	for i := range f.w.Site.Servers {
 		r.hold(i, model.Serving)
 	}
--- a/internal/registry/bench/bench.go
+++ b/internal/registry/bench/bench.go
@@ -122,8 +122,8 @@
 
 // fill registers all instances, in batches side by side.
 func (m *measurement) fill(ctx context.Context) error {
-	if _, err := m.w.Write(ctx, state.Op{Kind: state.Nothing}); err != nil { // a leader is there
-		return fmt.Errorf("%w: %s", err, m.c.Logs(0))
+	if err := m.c.Await(ctx); err != nil {
+		return err
 	}
 	began := time.Now()
 	var all errgroup.Group
--- a/internal/registry/cluster/cluster.go
+++ b/internal/registry/cluster/cluster.go
@@ -221,6 +221,27 @@
 	}
 }
 
+// Await waits until every replica answers and knows a leader. Two of three serve without the third, which may still be
+// starting, or never be.
+func (c *Cluster) Await(ctx context.Context) error {
+	for i, m := range c.nodes {
+		w, err := client.NewWriter(client.Options{Endpoints: []string{m.address}, RestMost: 50 * time.Millisecond})
+		if err != nil {
+			return err
+		}
+		for led := false; !led; {
+			var st replica.Status
+			if err := w.Call(ctx, "GET", "/registry/status", nil, &st); err != nil {
+				return fmt.Errorf("replica %s: %w: %s", m.id, err, c.Logs(i))
+			}
+			if led = st.Leader != ""; !led {
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+	}
+	return nil
+}
+
 // Leader is the replica that says that it leads, or another.
 func (c *Cluster) Leader(other int) int {
 	for i, m := range c.nodes {
