--- a/cmd/umberbank/registry.go
+++ b/cmd/umberbank/registry.go
@@ -46,18 +46,7 @@
 }
 
 func (c *registryServeCmd) Run(a *app) error {
-	cfg, err := replica.ReadConfig(c.Config)
-	if err != nil {
-		return err
-	}
-	cfg.Log = a.log
-	r, err := replica.New(cfg)
-	if err != nil {
-		return err
-	}
-	fmt.Fprintf(a.out, "replica %s serves on %s\n", cfg.ID, r.Addr())
-	<-a.ctx.Done()
-	return r.Close()
+	return replica.Serve(a.ctx, c.Config, a.log, func(address string) { fmt.Fprintf(a.out, "serving on %s\n", address) })
 }
 
 // registryAt says which registry a command is for.
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"os/exec"
@@ -40,16 +41,10 @@
 	case "replica":
 		ctx, stop := signalContext()
 		defer stop()
-		cfg, err := replica.ReadConfig(os.Args[len(os.Args)-1])
-		if err != nil {
-			panic(err)
-		}
-		r, err := replica.New(cfg)
-		if err != nil {
+		log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+		if err := replica.Serve(ctx, os.Args[len(os.Args)-1], log, func(string) {}); err != nil {
 			panic(err)
 		}
-		<-ctx.Done()
-		r.Close()
 	default:
 		wrongNode(mode)
 	}
--- a/internal/registry/bench/bench_test.go
+++ b/internal/registry/bench/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -17,16 +18,10 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
-	cfg, err := replica.ReadConfig(os.Args[len(os.Args)-1])
-	if err != nil {
-		panic(err)
-	}
-	r, err := replica.New(cfg)
-	if err != nil {
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	if err := replica.Serve(ctx, os.Args[len(os.Args)-1], log, func(string) {}); err != nil {
 		panic(err)
 	}
-	<-ctx.Done()
-	r.Close()
 }
 
 // A small measurement of real processes gives every figure.
--- a/internal/registry/replica/config.go
+++ b/internal/registry/replica/config.go
@@ -1,8 +1,10 @@
 package replica
 
 import (
+	"context"
 	_ "embed"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"slices"
@@ -14,6 +16,23 @@
 //go:embed registry.toml
 var builtIn []byte
 
+// Serve is the program that is one replica, by its configuration file; see ReadConfig. It calls ready with where it
+// serves, and ends with ctx.
+func Serve(ctx context.Context, path string, log *slog.Logger, ready func(address string)) error {
+	cfg, err := ReadConfig(path)
+	if err != nil {
+		return err
+	}
+	cfg.Log = log
+	r, err := New(cfg)
+	if err != nil {
+		return err
+	}
+	ready(r.Addr())
+	<-ctx.Done()
+	return r.Close()
+}
+
 // file is a replica's configuration as it is written.
 type file struct {
 	ID      string `toml:"id"`
--- a/internal/registry/trial/trial_test.go
+++ b/internal/registry/trial/trial_test.go
@@ -29,17 +29,10 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
-	cfg, err := replica.ReadConfig(os.Args[len(os.Args)-1])
-	if err != nil {
-		panic(err)
-	}
-	cfg.Log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn}))
-	r, err := replica.New(cfg)
-	if err != nil {
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	if err := replica.Serve(ctx, os.Args[len(os.Args)-1], log, func(string) {}); err != nil {
 		panic(err)
 	}
-	<-ctx.Done()
-	r.Close()
 }
 
 func command(t *testing.T) []string {
