A replica whose log is gone or emptied says so instead of starting anew

Cause: bbolt begins a new file where it finds none or an empty one (replica.New). A marker beside the log now says that it was begun.

--- a/internal/registry/replica/replica.go
+++ b/internal/registry/replica/replica.go
@@ -17,6 +17,7 @@
 	"slices"
 	"time"
 
+	"github.com/google/renameio/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
@@ -119,9 +120,15 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := begun(cfg.Dir); err != nil {
+		return nil, err
+	}
 	if r.store, err = raftboltdb.NewBoltStore(filepath.Join(cfg.Dir, "log.db")); err != nil {
 		return nil, fmt.Errorf("%s: %w", filepath.Join(cfg.Dir, "log.db"), err)
 	}
+	if err := renameio.WriteFile(filepath.Join(cfg.Dir, marker), nil, 0o600); err != nil {
+		return nil, err
+	}
 	log := checked{r.store}
 	if err := log.verify(); err != nil {
 		return nil, fmt.Errorf("%s: %w", filepath.Join(cfg.Dir, "log.db"), err)
@@ -155,6 +162,28 @@
 	return r, nil
 }
 
+// marker is a file that says that a folder's log was begun.
+const marker = "begun"
+
+// begun fails if a folder's log was begun and is gone. A replica that went on without would have forgotten whom it voted
+// for and what it had promised to keep.
+func begun(dir string) error {
+	if _, err := os.Stat(filepath.Join(dir, marker)); errors.Is(err, os.ErrNotExist) {
+		return nil
+	} else if err != nil {
+		return err
+	}
+	log := filepath.Join(dir, "log.db")
+	st, err := os.Stat(log)
+	if err == nil && st.Size() == 0 {
+		err = errors.New("it is empty")
+	}
+	if err != nil {
+		return fmt.Errorf("%s: the log was begun and is gone: take this replica out, empty its folder and add it again: %w", log, err)
+	}
+	return nil
+}
+
 // Addr is where writers and readers call.
 func (r *Replica) Addr() string { return r.listener.Addr().String() }
 
