--- a/internal/registry/trial/disk_test.go
+++ b/internal/registry/trial/disk_test.go
@@ -7,7 +7,6 @@
 	"testing"
 
 	"hollyspur/internal/registry/client"
-	"hollyspur/internal/registry/cluster"
 	"hollyspur/internal/registry/state"
 )
 
@@ -15,20 +14,7 @@
 // is lost, and once there is room again it catches up.
 func TestDiskFull(t *testing.T) {
 	t.Parallel()
-	c, err := cluster.New(command(t), 3, "")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	for i := range c.Len() {
-		if err := c.Start(i); err != nil {
-			t.Fatal(err)
-		}
-	}
-	w, err := client.NewWriter(client.Options{Endpoints: c.Addresses()})
-	if err != nil {
-		t.Fatal(err)
-	}
+	c, w := started(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 2*limit)
 	defer cancel()
 	written := map[string]bool{}
--- a/internal/registry/trial/members_test.go
+++ b/internal/registry/trial/members_test.go
@@ -18,16 +18,6 @@
 // all that was answered is there, in an order that goes on.
 func TestReplace(t *testing.T) {
 	t.Parallel()
-	c, err := cluster.New(command(t), 3, "")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	for i := range c.Len() {
-		if err := c.Start(i); err != nil {
-			t.Fatal(err)
-		}
-	}
 	raft, err := cluster.Free()
 	if err != nil {
 		t.Fatal(err)
@@ -42,10 +32,7 @@
 		t.Fatal(err)
 	}
 	defer next.Close()
-	w, err := client.NewWriter(client.Options{Endpoints: append(c.Addresses(), address)})
-	if err != nil {
-		t.Fatal(err)
-	}
+	c, w := started(t, address)
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
 	defer cancel()
 	written, last := 0, int64(0)
--- a/internal/registry/trial/node_test.go
+++ b/internal/registry/trial/node_test.go
@@ -15,7 +15,6 @@
 	"testing"
 	"time"
 
-	"hollyspur/internal/registry/client"
 	"hollyspur/internal/registry/cluster"
 	"hollyspur/internal/registry/state"
 )
@@ -27,25 +26,12 @@
 // replicas are gone, and hears what has changed once they are back.
 func TestNodeFollows(t *testing.T) {
 	t.Parallel()
-	c, err := cluster.New(command(t), 3, "")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	for i := range c.Len() {
-		if err := c.Start(i); err != nil {
-			t.Fatal(err)
-		}
-	}
+	c, w := started(t)
 	server := func(name string) *state.Entry {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, name) }))
 		t.Cleanup(s.Close)
 		return &state.Entry{UID: name, Endpoint: strings.TrimPrefix(s.URL, "http://"), Zone: "a", State: state.Serving, Capacity: 1}
 	}
-	w, err := client.NewWriter(client.Options{Endpoints: c.Addresses()})
-	if err != nil {
-		t.Fatal(err)
-	}
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
 	defer cancel()
 	if _, err := w.Write(ctx, state.Op{Kind: state.Register, Entry: server("one")}); err != nil {
--- a/internal/registry/trial/trial_test.go
+++ b/internal/registry/trial/trial_test.go
@@ -19,6 +19,8 @@
 	"testing"
 	"time"
 
+	"hollyspur/internal/registry/client"
+	"hollyspur/internal/registry/cluster"
 	"hollyspur/internal/registry/replica"
 )
 
@@ -44,6 +46,26 @@
 	return []string{"/usr/bin/env", "TRIAL_TEST_REPLICA=1", self}
 }
 
+// started is a cluster of three that runs, with a writer over all of them and more, until the test's end.
+func started(t *testing.T, more ...string) (*cluster.Cluster, *client.Writer) {
+	t.Helper()
+	c, err := cluster.New(command(t), 3, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	for i := range c.Len() {
+		if err := c.Start(i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	w, err := client.NewWriter(client.Options{Endpoints: append(c.Addresses(), more...)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c, w
+}
+
 func run(t *testing.T, opt Options) *Result {
 	t.Helper()
 	opt.Replica = command(t)
