--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -26,8 +26,8 @@
 // ownDelay is what a node leaves of a caller's time for the way back.
 const ownDelay = 20 * time.Millisecond
 
-// startTime is how long a node's process takes to be ready, and sweep how often idle connections are looked at.
-const startTime = 100 * time.Millisecond
+// startTime is how long a node's process takes to be ready, as measured on real ones.
+const startTime = 15 * time.Millisecond
 
 // Fleet is a model.Backend.
 type Fleet struct {
