--- a/cmd/umberbank/compare.go
+++ b/cmd/umberbank/compare.go
@@ -76,7 +76,8 @@
 
 // comparison is what lab compare --json prints.
 type comparison struct {
-	A, B        string
+	A           string               `json:"a"`
+	B           string               `json:"b"`
 	Seeds       int                  `json:"seeds"`
 	Invalid     int                  `json:"invalid_runs"` // played once more, or left out
 	Differences []compare.Difference `json:"differences"`
