A replica's figures in Prometheus' form

Need: who is on call has to see suspects, stale replicas and failing writes without asking each replica by hand. The node does not import it.

--- a/internal/registry/replica/api.go
+++ b/internal/registry/replica/api.go
@@ -61,6 +61,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /registry/instances", r.instances)
 	mux.HandleFunc("GET /registry/status", r.status)
+	mux.Handle("GET /metrics", r.meters.handler())
 	mux.HandleFunc("GET /registry/backup", func(w http.ResponseWriter, _ *http.Request) {
 		text, err := r.backup()
 		reply(w, json.RawMessage(text), err)
@@ -343,12 +344,14 @@
 				return
 			}
 			lines, rev, whole = [][]byte{chunk(text)}, at, false
+			r.meters.wholes.Inc()
 		}
 		if !whole {
 			for _, l := range lines {
 				if !send(l) {
 					return
 				}
+				r.meters.lines.Inc()
 			}
 			since = rev
 		}
--- a/internal/registry/replica/fsm.go
+++ b/internal/registry/replica/fsm.go
@@ -25,7 +25,8 @@
 
 // fsm applies the log to the State and tells the hub. Raft calls it from one goroutine.
 type fsm struct {
-	hub *hub
+	hub     *hub
+	applied func(kind, fault string) // hears of every write
 
 	mu    sync.RWMutex
 	state *state.State
@@ -33,7 +34,7 @@
 
 func newFSM() *fsm {
 	s := state.New()
-	return &fsm{state: s, hub: newHub(s.Rev())}
+	return &fsm{state: s, hub: newHub(s.Rev()), applied: func(string, string) {}}
 }
 
 // read gives the State to f, which must not keep it.
@@ -74,6 +75,7 @@
 		for _, op := range c.Ops {
 			answer, entry := f.state.Apply(op)
 			a.list = append(a.list, answer)
+			f.applied(op.Kind, answer.Fault)
 			if entry != nil {
 				changed = append(changed, entry)
 			}
--- a/internal/registry/replica/replica.go
+++ b/internal/registry/replica/replica.go
@@ -71,6 +71,7 @@
 	done     chan struct{}
 	forward  *http.Client
 	streams  streams
+	meters   *meters
 }
 
 // Defaults.
@@ -96,6 +97,8 @@
 	made := &Replica{cfg: cfg, fsm: newFSM(), asks: make(chan func(*leases)), done: make(chan struct{}),
 		forward: &http.Client{Timeout: writeWithin}}
 	r = made
+	r.meters = newMeters(r)
+	r.fsm.applied = r.meters.applied
 	defer func() {
 		if err != nil {
 			made.closeFiles()
@@ -324,6 +327,7 @@
 	if err != nil {
 		return nil, err
 	}
+	began := time.Now()
 	f := r.raft.Apply(text, writeWithin)
 	if err := f.Error(); err != nil {
 		if errors.Is(err, raft.ErrNotLeader) || errors.Is(err, raft.ErrLeadershipLost) || errors.Is(err, raft.ErrLeadershipTransferInProgress) {
@@ -331,6 +335,7 @@
 		}
 		return nil, err
 	}
+	r.meters.took.Observe(time.Since(began).Seconds())
 	a, ok := f.Response().(answers)
 	if !ok {
 		return nil, fmt.Errorf("the log gave %T for a write", f.Response())
