--- a/internal/registry/cluster/cluster.go
+++ b/internal/registry/cluster/cluster.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -40,10 +41,11 @@
 // defaultTick is short, so that elections are.
 const defaultTick = "60ms"
 
-// Free is an address that nobody listens on now. It may be lost to another by the time it is used; starting again
-// tells.
+// Free is an address on loopback that nobody listens on now, on a host drawn from many: on 127.0.0.1 the system might
+// give its port to a connection before it is used.
 func Free() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	host := fmt.Sprintf("127.%d.%d.%d", 220+rand.IntN(30), rand.IntN(250), 1+rand.IntN(250))
+	ln, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		return "", err
 	}
