The lab takes its own registry also where another node is tried

Cause: fleet.New filled in the replica's command only if the node's was missing too, so cluster.Start indexed an empty command while it held a lock that closing waits for. Each command is now completed by itself, and a cluster without one is refused.

--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -94,14 +94,11 @@
 
 // New returns a fleet whose sockets listen and whose nodes are not started.
 func New(w *model.World, o Observer, opt Options) (f *Fleet, err error) {
-	if len(opt.Node) == 0 {
-		self, err := os.Executable()
-		if err != nil {
-			return nil, err
-		}
-		opt.Node = []string{self, "node"}
-		opt.Replica = cmpOr(opt.Replica, []string{self, "registry", "serve"})
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
 	}
+	opt.complete(self)
 	f = &Fleet{w: w, opt: opt, observer: o, links: map[[2]int]*link{}, calls: map[string]*model.Call{}, began: time.Now()}
 	defer func() {
 		if err != nil {
@@ -136,11 +133,14 @@
 	return f, nil
 }
 
-func cmpOr(a, b []string) []string {
-	if len(a) > 0 {
-		return a
+// complete takes this program for whichever command was not told.
+func (o *Options) complete(self string) {
+	if len(o.Node) == 0 {
+		o.Node = []string{self, "node"}
+	}
+	if len(o.Replica) == 0 {
+		o.Replica = []string{self, "registry", "serve"}
 	}
-	return b
 }
 
 // raiseLimit asks for as many descriptors as the system gives; a site of many links wants thousands.
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -45,6 +45,18 @@
 	}
 }
 
+// Each command that was not told is this program's own, whichever the other is.
+func TestCommands(t *testing.T) {
+	for _, told := range []Options{{}, {Node: []string{"n"}}, {Replica: []string{"r"}}, {Node: []string{"n"}, Replica: []string{"r"}}} {
+		o := told
+		o.complete("self")
+		if told.Node != nil && o.Node[0] != "n" || told.Node == nil && o.Node[0] != "self" ||
+			told.Replica != nil && o.Replica[0] != "r" || told.Replica == nil && o.Replica[0] != "self" {
+			t.Errorf("%v: node %v, replica %v", told, o.Node, o.Replica)
+		}
+	}
+}
+
 // What the loader holds on one core, before a server in another process.
 func BenchmarkLoader(b *testing.B) {
 	self, err := os.Executable()
--- a/internal/registry/cluster/cluster.go
+++ b/internal/registry/cluster/cluster.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -56,6 +57,9 @@
 // New makes the files and relays; nothing runs yet. The command takes --config FILE; more stands at the end of each
 // file.
 func New(command []string, replicas int, more string) (c *Cluster, err error) {
+	if len(command) == 0 {
+		return nil, errors.New("no command of a replica")
+	}
 	c = &Cluster{command: command, launch: launch.New(), links: map[[2]int]*relay.Relay{}}
 	defer func() {
 		if err != nil {
