A registry's replica with a slow, hung or spoilt disk no longer holds the others up

Observed: with the leader's syncs at 600 ms, or hung, heartbeats go on and every write waits for that disk for good; with an entry of the leader's log spoilt while a follower needs it, raft logs the failed read, goes on leading and never brings that follower up to date (raft's setNewLogs returns the error; ROADMAP said that the replica ends, which holds for a follower that applies the entry alone).

Change: the log's store times its syncs. Two slow ones in a row (over 5 ticks) and the leader hands over, every 300 ticks at most; one that lasts 50 ticks, or a spoilt entry that is read, ends the replica, which says why. sync_wait names a file by which trials make a disk slow; the trial plays that as a ninth fault.

--- a/internal/registry/cluster/cluster.go
+++ b/internal/registry/cluster/cluster.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"time"
 
+	"github.com/google/renameio/v2"
+
 	"hollyspur/internal/lab/launch"
 	"hollyspur/internal/lab/relay"
 	"hollyspur/internal/registry/client"
@@ -79,7 +81,8 @@
 		c.nodes = append(c.nodes, m)
 	}
 	for i, m := range c.nodes {
-		text := fmt.Sprintf("id = %q\ndir = %q\nraft = %q\naddress = %q\ntick = %q\n", m.id, filepath.Join(c.dir, m.id), m.raft, m.address, defaultTick)
+		text := fmt.Sprintf("id = %q\ndir = %q\nraft = %q\naddress = %q\ntick = %q\nsync_wait = %q\n",
+			m.id, filepath.Join(c.dir, m.id), m.raft, m.address, defaultTick, c.syncWait(i))
 		for j, o := range c.nodes {
 			via := o.raft
 			if i != j {
@@ -166,6 +169,24 @@
 	}
 }
 
+// SlowDisk makes each sync of a replica's log wait from now on; 0: as it was.
+func (c *Cluster) SlowDisk(i int, wait time.Duration) error {
+	return renameio.WriteFile(c.syncWait(i), []byte(wait.String()), 0o600)
+}
+
+func (c *Cluster) syncWait(i int) string { return filepath.Join(c.dir, c.nodes[i].id+".sync") }
+
+// Ended is closed when the process that a replica runs as has ended; nil: it does not run.
+func (c *Cluster) Ended(i int) <-chan struct{} {
+	m := c.nodes[i]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cmd == nil {
+		return nil
+	}
+	return m.ended
+}
+
 // Logs is the end of what a replica wrote.
 func (c *Cluster) Logs(i int) string {
 	text, err := os.ReadFile(filepath.Join(c.dir, c.nodes[i].id+".log"))
--- a/internal/registry/replica/checked.go
+++ b/internal/registry/replica/checked.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/raft"
@@ -10,10 +12,20 @@
 
 // checked is a log whose entries carry a checksum of all that matters in them. bbolt checks the pages that say where
 // things are, but not what is in them: a flipped byte there would become part of the State of one replica alone.
-type checked struct{ raft.LogStore }
+//
+// It also keeps the time of each sync, from which the replica tells that its disk is slow or hangs.
+type checked struct {
+	raft.LogStore
+	wait   func()      // before each sync; nil: not at all
+	spoilt func(error) // hears of each entry that is not what was written
 
-// errSpoilt says that an entry of the log is not what was written. Raft ends the process on it, which is wanted: the
-// replica has to be made anew from the others.
+	began atomic.Int64 // UnixNano at which the sync under way began; 0: none is
+	slow  atomic.Int32 // syncs in a row that took longer than limit
+	limit time.Duration
+}
+
+// errSpoilt says that an entry of the log is not what was written. The replica ends on it: raft itself only skips the
+// call that needed the entry, so a leader would go on leading and never bring those up to date who lack it.
 type errSpoilt struct{ index uint64 }
 
 func (e errSpoilt) Error() string {
@@ -33,34 +45,57 @@
 }
 
 // StoreLog stores one entry.
-func (c checked) StoreLog(l *raft.Log) error { return c.StoreLogs([]*raft.Log{l}) }
+func (c *checked) StoreLog(l *raft.Log) error { return c.StoreLogs([]*raft.Log{l}) }
 
 // StoreLogs stores entries, each with its checksum behind its data. The entries themselves stay as they are.
-func (c checked) StoreLogs(logs []*raft.Log) error {
+func (c *checked) StoreLogs(logs []*raft.Log) error {
 	out := make([]*raft.Log, len(logs))
 	for i, l := range logs {
 		with := *l
 		with.Data = binary.BigEndian.AppendUint64(append(make([]byte, 0, len(l.Data)+8), l.Data...), sum(l, l.Data))
 		out[i] = &with
 	}
-	return c.LogStore.StoreLogs(out)
+	began := time.Now()
+	c.began.Store(began.UnixNano())
+	defer c.began.Store(0)
+	if c.wait != nil {
+		c.wait()
+	}
+	err := c.LogStore.StoreLogs(out)
+	if time.Since(began) > c.limit {
+		c.slow.Add(1)
+	} else {
+		c.slow.Store(0)
+	}
+	return err
+}
+
+// hung is how long the sync under way has lasted.
+func (c *checked) hung(now time.Time) time.Duration {
+	began := c.began.Load()
+	if began == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, began))
 }
 
 // GetLog reads an entry, and fails if it is not what was stored.
-func (c checked) GetLog(index uint64, l *raft.Log) error {
+func (c *checked) GetLog(index uint64, l *raft.Log) error {
 	if err := c.LogStore.GetLog(index, l); err != nil {
 		return err
 	}
 	n := len(l.Data) - 8
 	if n < 0 || l.Index != index || binary.BigEndian.Uint64(l.Data[n:]) != sum(l, l.Data[:n]) {
-		return errSpoilt{index}
+		err := errSpoilt{index}
+		c.spoilt(err)
+		return err
 	}
 	l.Data = l.Data[:n:n]
 	return nil
 }
 
 // verify reads the whole log.
-func (c checked) verify() error {
+func (c *checked) verify() error {
 	first, err := c.FirstIndex()
 	if err != nil {
 		return err
--- a/internal/registry/replica/config.go
+++ b/internal/registry/replica/config.go
@@ -17,7 +17,7 @@
 var builtIn []byte
 
 // Serve is the program that is one replica, by its configuration file; see ReadConfig. It calls ready with where it
-// serves, and ends with ctx.
+// serves, and ends with ctx, or with an error when its data fails it.
 func Serve(ctx context.Context, path string, log *slog.Logger, ready func(address string)) error {
 	cfg, err := ReadConfig(path)
 	if err != nil {
@@ -29,8 +29,12 @@
 		return err
 	}
 	ready(r.Addr())
-	<-ctx.Done()
-	return r.Close()
+	select {
+	case <-ctx.Done():
+		return r.Close()
+	case err := <-r.Failed():
+		return err
+	}
 }
 
 // file is a replica's configuration as it is written.
@@ -40,6 +44,7 @@
 	Raft    string `toml:"raft"`
 	Address string `toml:"address"`
 	Tick    string `toml:"tick"`
+	Wait    string `toml:"sync_wait"`
 	Peers   []Peer `toml:"peer"`
 	Guard   struct {
 		Share   float64 `toml:"share"`
@@ -73,7 +78,7 @@
 	bad := func(key, reason string, args ...any) error {
 		return &strict.Error{File: name, Key: key, Reason: fmt.Sprintf(reason, args...)}
 	}
-	c := Config{ID: f.ID, Dir: f.Dir, Raft: f.Raft, Address: f.Address, Peers: f.Peers,
+	c := Config{ID: f.ID, Dir: f.Dir, Raft: f.Raft, Address: f.Address, Peers: f.Peers, SyncWait: f.Wait,
 		Guard: Guard{Share: f.Guard.Share, Least: f.Guard.Least}}
 	for _, d := range []struct {
 		key, text string
--- a/internal/registry/replica/replica.go
+++ b/internal/registry/replica/replica.go
@@ -15,6 +15,8 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/renameio/v2"
@@ -55,7 +57,10 @@
 	Tick time.Duration
 	// SnapshotEvery is how many entries of the log make a snapshot; 0: 8,192.
 	SnapshotEvery uint64
-	Log           *slog.Logger
+	// SyncWait is a file for trials of slow disks: each sync of the log first waits for as long as it says; "" or no such
+	// file: not at all.
+	SyncWait string
+	Log      *slog.Logger
 }
 
 // Replica is one that runs.
@@ -64,6 +69,9 @@
 	raft     *raft.Raft
 	fsm      *fsm
 	store    *raftboltdb.BoltStore
+	log      *checked
+	running  atomic.Bool
+	failed   chan error // gets why this replica must end by itself
 	trans    *raft.NetworkTransport
 	http     *http.Server
 	listener net.Listener
@@ -83,6 +91,17 @@
 	poolSize         = 3
 )
 
+// A disk that is slow holds up whoever leads with it, while its heartbeats go on and nobody stands against it. In ticks:
+const (
+	slowSync = 5  // a sync that takes longer is slow
+	hungSync = 50 // and one that takes this long hangs: the replica ends
+	handRest = 300
+)
+
+// slowSyncs is how many slow syncs in a row make a leader hand over; it does so once in handRest at most, so that the
+// lead does not go round where all disks are slow.
+const slowSyncs = 2
+
 // New starts a replica on the data that it finds, and begins a cluster if there is none and it was told of peers.
 func New(cfg Config) (r *Replica, err error) {
 	if cfg.Log == nil {
@@ -94,7 +113,7 @@
 	if cfg.SnapshotEvery == 0 {
 		cfg.SnapshotEvery = defaultSnapshots
 	}
-	made := &Replica{cfg: cfg, fsm: newFSM(), asks: make(chan func(*leases)), done: make(chan struct{}),
+	made := &Replica{cfg: cfg, fsm: newFSM(), asks: make(chan func(*leases)), done: make(chan struct{}), failed: make(chan error, 1),
 		forward: &http.Client{Timeout: writeWithin}}
 	r = made
 	r.meters = newMeters(r)
@@ -132,7 +151,11 @@
 	if err := renameio.WriteFile(filepath.Join(cfg.Dir, marker), nil, 0o600); err != nil {
 		return nil, err
 	}
-	log := checked{r.store}
+	log := &checked{LogStore: r.store, spoilt: r.fail, limit: slowSync * cfg.Tick}
+	if cfg.SyncWait != "" {
+		log.wait = func() { time.Sleep(syncWait(cfg.SyncWait)) }
+	}
+	r.log = log
 	if err := log.verify(); err != nil {
 		return nil, fmt.Errorf("%s: %w", filepath.Join(cfg.Dir, "log.db"), err)
 	}
@@ -162,6 +185,7 @@
 	go r.lead()
 	r.http = &http.Server{Handler: r.handler(), ReadHeaderTimeout: writeWithin}
 	go r.http.Serve(r.listener) // until Close
+	r.running.Store(true)
 	return r, nil
 }
 
@@ -187,6 +211,37 @@
 	return nil
 }
 
+// fail has this replica end: it tells Failed, and neither peers nor users hear from it any more.
+func (r *Replica) fail(err error) {
+	select {
+	case r.failed <- err:
+	default: // for another reason already
+		return
+	}
+	if r.running.Load() { // else there is nobody yet to hear from it
+		r.cfg.Log.Error("this replica ends", "error", err)
+		r.trans.Close()
+		r.http.Close()
+		r.streams.close()
+	}
+}
+
+// Failed gets why this replica cannot go on, if that happens. Close may then wait for a disk that hangs.
+func (r *Replica) Failed() <-chan error { return r.failed }
+
+// syncWait is the time that a file says; none: 0.
+func syncWait(path string) time.Duration {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return 0
+	}
+	d, err := time.ParseDuration(strings.TrimSpace(string(text)))
+	if err != nil {
+		return 0
+	}
+	return d
+}
+
 // Addr is where writers and readers call.
 func (r *Replica) Addr() string { return r.listener.Addr().String() }
 
@@ -228,6 +283,7 @@
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
 	began := time.Now()
+	var handed time.Time // when the lead was last handed over
 	var kept *leases
 	var wake <-chan struct{}
 	var heard int64
@@ -247,9 +303,18 @@
 			if r.raft.State() == raft.Shutdown {
 				return
 			}
+			if d := r.log.hung(time.Now()); d > hungSync*r.cfg.Tick {
+				r.fail(fmt.Errorf("%s: a sync has not ended for %v", r.cfg.Dir, d.Round(time.Millisecond)))
+				return
+			}
 			if kept == nil {
 				continue
 			}
+			if r.log.slow.Load() >= slowSyncs && time.Since(handed) > handRest*r.cfg.Tick {
+				handed = time.Now()
+				r.cfg.Log.Warn("this replica's disk is slow: another shall lead")
+				r.raft.LeadershipTransfer() // its end shows in leads; who cannot take over leaves things as they are
+			}
 			if ops := kept.look(time.Since(began)); len(ops) > 0 {
 				r.propose(ops)
 			}
--- a/internal/registry/trial/disk_test.go
+++ b/internal/registry/trial/disk_test.go
@@ -1,10 +1,14 @@
 package trial
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"hollyspur/internal/registry/client"
 	"hollyspur/internal/registry/state"
@@ -68,3 +72,118 @@
 		}
 	}
 }
+
+// mean is the mean time of some writes, one after another.
+func mean(t *testing.T, ctx context.Context, w *client.Writer, n int) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for range n {
+		if _, err := w.Write(ctx, state.Op{Kind: state.Nothing}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return time.Since(began) / time.Duration(n)
+}
+
+// The leader's disk becomes slow, and later hangs. Its heartbeats would go on and nobody stand against it; another
+// leads instead, and writes take what they take there.
+func TestSlowDisk(t *testing.T) {
+	t.Parallel()
+	for name, wait := range map[string]time.Duration{"slow": 600 * time.Millisecond, "hung": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c, w := started(t)
+			ctx, cancel := context.WithTimeout(t.Context(), 2*limit)
+			defer cancel()
+			mean(t, ctx, w, 5)
+			slow := c.Leader(0)
+			ended := c.Ended(slow)
+			if err := c.SlowDisk(slow, wait); err != nil {
+				t.Fatal(err)
+			}
+			for c.Leader(slow) == slow { // who leads only knows its disk by writing
+				mean(t, ctx, w, 1)
+			}
+			if took := mean(t, ctx, w, 10); took > wait/2 {
+				t.Errorf("writes still take %v", took)
+			}
+			if wait == time.Hour {
+				select {
+				case <-ended:
+				case <-ctx.Done():
+					t.Errorf("the replica whose disk hangs goes on: %s", c.Logs(slow))
+				}
+			}
+		})
+	}
+}
+
+// An entry of the leader's log is spoilt while it runs, and a replica needs it. The leader ends and says why; the others
+// go on with all that was answered.
+func TestSpoiltWhileRunning(t *testing.T) {
+	t.Parallel()
+	c, w := started(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*limit)
+	defer cancel()
+	mean(t, ctx, w, 5)
+	leader := c.Leader(0)
+	behind := (leader + 1) % c.Len()
+	c.Kill(behind)
+	ended := c.Ended(leader)
+	const mark = "spoil-this-entry"
+	e := &state.Entry{UID: mark, Endpoint: "a:1", State: state.Serving}
+	a, err := w.Write(ctx, state.Op{Kind: state.Register, Entry: e})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := spoil(t, filepath.Join(c.Dir(leader), "log.db"), mark); n == 0 {
+		t.Fatal("the entry is not in the log")
+	}
+	if err := c.Start(behind); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		t.Fatalf("the leader goes on: %s", c.Logs(leader))
+	}
+	if log := c.Logs(leader); !strings.Contains(log, "is not what was written") {
+		t.Errorf("the leader does not say why: %s", log)
+	}
+	late, err := client.NewWriter(client.Options{Endpoints: []string{c.Addresses()[behind]}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var l list
+	if err := late.Call(ctx, "GET", fmt.Sprintf("/registry/instances?at_least=%d", a[0].Rev), nil, &l); err != nil {
+		t.Fatalf("%v: %s", err, c.Logs(behind))
+	}
+	if len(l.Targets) != 1 || l.Targets[0].UID != mark {
+		t.Errorf("the others hold %v", l.Targets)
+	}
+}
+
+// spoil flips a byte wherever a file holds a text, in place, and returns how often.
+func spoil(t *testing.T, path, mark string) (n int) {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := os.OpenFile(path, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	for at := 0; ; at++ {
+		next := bytes.Index(text[at:], []byte(mark))
+		if next < 0 {
+			return n
+		}
+		at += next
+		if _, err := f.WriteAt([]byte{text[at] ^ 1}, int64(at)); err != nil {
+			t.Fatal(err)
+		}
+		n++
+	}
+}
--- a/internal/registry/trial/trial.go
+++ b/internal/registry/trial/trial.go
@@ -192,7 +192,7 @@
 			i = c.Leader(i) // the one whose loss hurts
 		}
 		lasts := time.Duration(200+r.IntN(1000)) * time.Millisecond
-		kind := []string{"kill", "stop", "isolate", "deaf", "mute", "cut", "kill-all", "slow"}[r.IntN(8)]
+		kind := []string{"kill", "stop", "isolate", "deaf", "mute", "cut", "kill-all", "slow", "slow-disk"}[r.IntN(9)]
 		res.Faults = append(res.Faults, fmt.Sprintf("%s %s %v", kind, c.Name(i), lasts))
 		opt.Log("%s %s for %v", kind, c.Name(i), lasts)
 		after := func(do func()) {
@@ -220,6 +220,11 @@
 		case "stop":
 			c.Signal(i, syscall.SIGSTOP)
 			after(func() { c.Signal(i, syscall.SIGCONT) })
+		case "slow-disk":
+			if err := c.SlowDisk(i, time.Duration(50+r.IntN(500))*time.Millisecond); err != nil {
+				return err
+			}
+			after(func() { c.SlowDisk(i, 0) })
 		default:
 			e := &relay.Effect{Silent: kind != "slow", There: true, Back: true}
 			if kind == "slow" {
