Crowded answers are no longer taken for bare work; the window grows fast while servers idle

Cause: b.bare, the least latency over aim, forgot towards b.fill by 0.004 an answer whatever was out, so within 270 answers the crowd counted as bare work and busyRatio*bare rose with it to aimFill.

Change: bare rises only while the copy lets in no more than its floor. With a limit that stays, the window may grow up to ten times as fast, in proportion to what is left to the limit. Averages are taken over the answers that come while one is out, not over a window that nothing fills. TestWindowJudgesLatencyByQuietTimes asserted the old forgetting (its quiet times had 40 calls out); its quiet times are quiet now.

--- a/policy.go
+++ b/policy.go
@@ -34,6 +34,7 @@
 	aimFill     = 0.6  // mean latency over aim that admission lets be at the most
 	busyRatio   = 1.6  // and times the least mean latency over aim that was seen
 	windowUp    = 0.02 // window gained by an answer in good time
+	windowHurry = 9    // times as much on top where the servers are idle
 	windowDown  = 0.1  // window lost by a late one
 	windowStart = 5.0  // own calls admitted per server before anything is known
 	windowLeast = 2.0  // own calls that may be out at once whatever the window
@@ -884,8 +885,8 @@
 }
 
 // steer moves the window so that the mean latency stays at a set part of the aim: crowded servers
-// choke and stay slow, so the crowd must wait or be refused here. It grows slowly: the crowd let in
-// a moment ago shows only when its answers come.
+// choke and stay slow, so the crowd must wait or be refused here. The nearer to a crowd, the slower it grows:
+// one let in a moment ago shows only when its answers come.
 func (b *Balancer) steer(r *request, e Outcome) {
 	switch e.Ending {
 	case Withdrawn, Void, Failure, Broken: // they tell of other things than a crowd
@@ -898,21 +899,29 @@
 	if e.Ending != Success {
 		over = max(over, 1)
 	}
-	b.fill += 2 / (b.window + 16) * (min(over, 1) - b.fill)
-	b.calm += 0.5 / (b.window + 16) * (min(over, 1) - b.calm)
+	answers := min(b.window, float64(b.inFlight)) + 16 // that come while one is out, and some against noise
+	b.fill += 2 / answers * (min(over, 1) - b.fill)
+	b.calm += 0.5 / answers * (min(over, 1) - b.calm)
 	// The least of a mean of few answers is mostly noise, the more so the smaller the fleet.
 	// Servers that were idle a while ago show how much of the aim bare work fills; crowding is what comes on
-	// top, and a fixed share of the aim would starve slow work or choke the servers of quick work.
-	b.bare = min(b.calm, b.bare+memory/16*(b.fill-b.bare))
+	// top, and a fixed share of the aim would starve slow work or choke the servers of quick work. Only where
+	// this copy lets in no more than its floor may bare work seem to grow: elsewhere that would be its own
+	// crowd, and the limit would rise with the crowd until all servers choke.
+	floor := windowFloor * b.fairServers()
+	b.bare = min(b.bare, b.calm)
+	if b.window <= floor || floor >= windowLeast && float64(b.inFlight) < floor {
+		b.bare = min(b.calm, b.bare+memory/16*(b.fill-b.bare))
+	}
+	limit := min(aimFill, busyRatio*b.bare)
 	// What is shed must not lower the limit: then less is sent and more shed, and the window stays at its
 	// floor long after the crowd has gone. The floor keeps bare work that fills much of the aim from being
 	// taken for a crowd until nothing is sent.
-	if b.fill > min(aimFill, busyRatio*b.bare) {
+	if b.fill > limit {
 		b.window -= windowDown * min(1, b.window)
 	} else if float64(b.inFlight+1) >= 0.8*b.window {
-		b.window += windowUp * min(1, b.window)
+		b.window += windowUp * min(1, b.window) * (1 + windowHurry*(1-b.fill/max(limit, 1e-9)))
 	}
-	b.window = max(b.window, windowFloor*b.fairServers())
+	b.window = max(b.window, floor)
 }
 
 // value is what an answer in a class adds to the result for the time it takes, so that shedding
