--- a/internal/registry/client/client.go
+++ b/internal/registry/client/client.go
@@ -23,9 +23,8 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
-	"github.com/cespare/xxhash/v2"
-	"github.com/google/renameio/v2"
 
+	"hollyspur/internal/durable"
 	"hollyspur/internal/registry/state"
 )
 
@@ -87,6 +86,8 @@
 	heard   time.Time // when a replica last said something; zero: never, the list is from the cache
 	wholes  int       // whole lists taken
 	lines   int       // and changes
+
+	news chan struct{} // for the goroutine that keeps the cache: a disk may be slow, and news must not wait for it
 }
 
 // NewReader returns a Reader that holds what its cache has, if that is whole.
@@ -94,7 +95,7 @@
 	if err := opt.complete(); err != nil {
 		return nil, err
 	}
-	r := &Reader{opt: opt, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, entries: map[string]*state.Entry{}}
+	r := &Reader{opt: opt, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, entries: map[string]*state.Entry{}, news: make(chan struct{}, 1)}
 	if opt.Cache != "" {
 		m, err := readCache(opt.Cache)
 		if err == nil {
@@ -131,6 +132,11 @@
 // Run follows the registry until ctx ends, and calls changed with each change, once it is applied. Whatever ends a watch, it goes on at
 // another replica after a rest.
 func (r *Reader) Run(ctx context.Context, changed func(Update)) error {
+	if r.opt.Cache != "" {
+		var keeping sync.WaitGroup
+		keeping.Go(func() { r.keepAll(ctx) })
+		defer keeping.Wait()
+	}
 	at := mrand.IntN(len(r.opt.Endpoints))
 	rests := r.opt.rests()
 	for ctx.Err() == nil {
@@ -192,8 +198,9 @@
 		r.heard = time.Now()
 		r.mu.Unlock()
 		if news {
-			if r.opt.Cache != "" {
-				r.keep()
+			select {
+			case r.news <- struct{}{}:
+			default: // it is about to look
 			}
 			changed(m)
 		}
@@ -226,28 +233,48 @@
 
 // ---- The cache ----
 
-// keep writes the list to the cache: a checksum on the first line, the list on the second. What cannot be written is
-// not kept; the list in memory stands.
+// What the cache's file is.
+const (
+	cacheKind   = "registry-list"
+	cacheSchema = 1
+)
+
+// keepAll keeps the list after each change, or the latest of several, until ctx ends.
+func (r *Reader) keepAll(ctx context.Context) {
+	for {
+		select {
+		case <-r.news:
+			r.keep()
+		case <-ctx.Done():
+			select {
+			case <-r.news:
+				r.keep()
+			default:
+			}
+			return
+		}
+	}
+}
+
+// keep writes the list to the cache. What cannot be written is not kept; the list in memory stands.
 func (r *Reader) keep() {
 	v := r.View()
 	text, err := json.Marshal(message{Rev: v.Rev, All: true, Targets: v.Entries})
 	if err != nil {
 		return
 	}
-	sum := strconv.FormatUint(xxhash.Sum64(text), 16)
-	renameio.WriteFile(r.opt.Cache, slices.Concat([]byte(sum), []byte{'\n'}, text), 0o600)
+	durable.WriteFile(r.opt.Cache, durable.Snapshot{Kind: cacheKind, Schema: cacheSchema, Seq: uint64(v.Rev), Taken: time.Now(), Payload: text})
 }
 
 func readCache(path string) (m message, err error) {
-	text, err := os.ReadFile(path)
+	s, err := durable.ReadFile(path)
 	if err != nil {
 		return m, err
 	}
-	sum, body, _ := bytes.Cut(text, []byte{'\n'})
-	if want, err := strconv.ParseUint(string(sum), 16, 64); err != nil || want != xxhash.Sum64(body) {
-		return m, fmt.Errorf("%s: the checksum does not fit", path)
+	if s.Kind != cacheKind || s.Schema != cacheSchema {
+		return m, fmt.Errorf("%s: form %d of %s is no list that this version knows", path, s.Schema, s.Kind)
 	}
-	if err := json.Unmarshal(body, &m); err != nil {
+	if err := json.Unmarshal(s.Payload, &m); err != nil {
 		return m, err
 	}
 	if !m.All || m.Targets == nil {
