A node takes over what the process before it had learned, where it has a disk that survives

The node saves each second off the loop and restores before it is ready; off unless its configuration names state.dir, so run is as it was. umberbank state inspect, verify, repair. The lab keeps state on both clocks (state.keep), reckons after_restart, compares more than two sides and draws them. The oracle is proven by a node that sends again what its predecessor had in hand.

--- a/cmd/cranegrade/main_test.go
+++ b/cmd/cranegrade/main_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -18,16 +19,40 @@
 
 const limit = 60 * time.Second
 
-// command starts the program: as the deploy file says where .ci/run names it, else built here.
+// program is the command that runs the program: as the deploy file says where .ci/run names it, else built here, once.
+var program = sync.OnceValues(func() (string, error) {
+	if run := os.Getenv("NODE_RUN"); run != "" {
+		return run, nil
+	}
+	dir, err := os.MkdirTemp("", "cranegrade-test-")
+	if err != nil {
+		return "", err
+	}
+	built = dir
+	bin := filepath.Join(dir, "cranegrade")
+	if out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("build: %w\n%s", err, out)
+	}
+	return "exec " + bin, nil
+})
+
+// built is the folder that program has made, if it has.
+var built string
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if built != "" {
+		os.RemoveAll(built)
+	}
+	os.Exit(code)
+}
+
+// command starts the program.
 func command(t *testing.T, config string) *exec.Cmd {
 	t.Helper()
-	run := os.Getenv("NODE_RUN")
-	if run == "" {
-		bin := filepath.Join(t.TempDir(), "cranegrade")
-		if out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput(); err != nil {
-			t.Fatalf("build: %v\n%s", err, out)
-		}
-		run = "exec " + bin
+	run, err := program()
+	if err != nil {
+		t.Fatal(err)
 	}
 	cmd := exec.Command("/bin/sh", "-c", run)
 	cmd.Dir = "../.."
--- a/cmd/umberbank/compare.go
+++ b/cmd/umberbank/compare.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -12,6 +14,7 @@
 
 	"hollyspur/internal/lab"
 	"hollyspur/internal/lab/compare"
+	"hollyspur/internal/lab/report"
 	"hollyspur/internal/lab/scenario"
 )
 
@@ -54,12 +57,14 @@
 type labCompareCmd struct {
 	A        string        `arg:"" help:"One way of playing: words for a file, keys, clock=virtual, node=COMMAND (its parts joined by commas). \"\": the default scenario."`
 	B        string        `arg:"" help:"The other."`
+	More     []string      `arg:"" optional:"" help:"Further ones, each compared with the first."`
 	Seeds    int           `help:"How many seeds both are played on." default:"10"`
 	Seed     uint64        `help:"The first seed." default:"1"`
 	Virtual  bool          `help:"Play on the virtual clock where a side does not say."`
 	Duration time.Duration `help:"Win over the files' duration."`
 	Within   float64       `help:"Exit 1 if the mean served share of both differs by more than this." placeholder:"SHARE"`
-	JSON     bool          `help:"Print one JSON object."`
+	Plot     string        `help:"Draw what each side serves, second by second, mean of the seeds (SVG)." placeholder:"FILE"`
+	JSON     bool          `help:"Print one JSON object for each side after the first."`
 }
 
 // Help is shown by --help.
@@ -71,7 +76,8 @@
 Examples:
   umberbank lab compare "labs/flap.toml" "labs/flap.toml limits.second_copies=false" --virtual
   umberbank lab compare "labs/calm.toml clock=real" "labs/calm.toml clock=virtual" --within 0.05
-  umberbank lab compare "node=bin/earlier" "node=bin/cranegrade" --seeds 6`
+  umberbank lab compare "node=bin/earlier" "node=bin/cranegrade" --seeds 6
+  umberbank lab compare "labs/crash-many.toml state.keep=false" labs/crash-many.toml --virtual --plot crash.svg`
 }
 
 // comparison is what lab compare --json prints.
@@ -87,53 +93,80 @@
 	if c.Seeds < 1 {
 		return fmt.Errorf("--seeds: %d is below 1", c.Seeds)
 	}
-	var sides [2]*side
-	for i, words := range []string{c.A, c.B} {
-		var err error
-		if sides[i], err = c.side(words); err != nil {
+	words := append([]string{c.A, c.B}, c.More...)
+	var sides []*side
+	for _, w := range words {
+		s, err := c.side(w)
+		if err != nil {
 			return err
 		}
+		sides = append(sides, s)
 	}
 	results, invalid, err := c.play(a, sides)
 	if err != nil {
 		return err
 	}
-	diffs, err := compare.Compare(results[0], results[1])
-	if err != nil {
-		return err
+	apart := false
+	for i, other := range results[1:] {
+		diffs, err := compare.Compare(results[0], other)
+		if err != nil {
+			return err
+		}
+		out := comparison{c.A, words[1+i], len(other), invalid, diffs}
+		if c.JSON {
+			err = json.NewEncoder(a.out).Encode(out)
+		} else {
+			err = printComparison(a, out)
+		}
+		if err != nil {
+			return err
+		}
+		d := diffs[0].Mean
+		apart = apart || c.Within > 0 && (d > c.Within || d < -c.Within)
 	}
-	out := comparison{c.A, c.B, len(results[0]), invalid, diffs}
-	if c.JSON {
-		err = json.NewEncoder(a.out).Encode(out)
-	} else {
-		err = printComparison(a, out)
+	if c.Plot != "" {
+		if err := c.plot(words, results); err != nil {
+			return fmt.Errorf("%s: %w", c.Plot, err)
+		}
 	}
-	if err != nil {
-		return err
+	if apart || broken(results) {
+		return errNotHeld
 	}
-	return c.verdict(results, diffs)
+	return nil
 }
 
-func (c *labCompareCmd) verdict(results [2][]*lab.Result, diffs []compare.Difference) error {
+// broken says that a rule was broken in some run.
+func broken(results [][]*lab.Result) bool {
 	for _, side := range results {
 		for _, r := range side {
 			if r.RulesBroken > 0 {
-				return errNotHeld
+				return true
 			}
 		}
 	}
-	if d := diffs[0].Mean; c.Within > 0 && (d > c.Within || d < -c.Within) {
-		return errNotHeld
+	return false
+}
+
+func (c *labCompareCmd) plot(words []string, results [][]*lab.Result) error {
+	f, err := os.Create(c.Plot)
+	if err != nil {
+		return err
 	}
-	return nil
+	var names []string
+	for _, w := range words {
+		names = append(names, orDefault(w))
+	}
+	return errors.Join(report.Served(f, names, results), f.Close())
 }
 
 // play plays both sides on all seeds. A seed with a run that is not valid even the second time is left out.
-func (c *labCompareCmd) play(a *app, sides [2]*side) (results [2][]*lab.Result, invalid int, err error) {
-	runs := make([][2]*lab.Result, c.Seeds)
+func (c *labCompareCmd) play(a *app, sides []*side) (results [][]*lab.Result, invalid int, err error) {
+	results = make([][]*lab.Result, len(sides))
+	runs := make([][]*lab.Result, c.Seeds)
 	virtual, ctx := errgroup.WithContext(a.ctx)
 	virtual.SetLimit(4)
 	for i := range runs {
+		runs[i] = make([]*lab.Result, len(sides))
 		for k, s := range sides {
 			opt := lab.Options{Seed: c.Seed + uint64(i), Virtual: s.virtual, Node: s.node}
 			if s.virtual {
@@ -162,12 +195,15 @@
 				}
 			}
 		}
-		if runs[i][0].Valid && runs[i][1].Valid {
-			results[0], results[1] = append(results[0], runs[i][0]), append(results[1], runs[i][1])
+		if slices.ContainsFunc(runs[i], func(r *lab.Result) bool { return !r.Valid }) {
+			continue
+		}
+		for k, r := range runs[i] {
+			results[k] = append(results[k], r)
 		}
 	}
 	if len(results[0]) == 0 {
-		return results, invalid, errors.New("no seed has two valid runs: this machine could not send the load in time")
+		return results, invalid, errors.New("no seed has valid runs of all sides: this machine could not send the load in time")
 	}
 	return results, invalid, nil
 }
--- a/cmd/umberbank/main.go
+++ b/cmd/umberbank/main.go
@@ -38,6 +38,7 @@
 	Lab      labCmd      `cmd:"" help:"Play scenarios on fleets of nodes, with faults."`
 	Registry registryCmd `cmd:"" help:"Run, read and change the registry of servers."`
 	Config   configCmd   `cmd:"" help:"Look at a node's configuration."`
+	State    stateCmd    `cmd:"" help:"Look at what processes have kept on disk."`
 	Version  versionCmd  `cmd:"" help:"Say which version this is."`
 }
 
--- a/cmd/umberbank/main_test.go
+++ b/cmd/umberbank/main_test.go
@@ -8,6 +8,10 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
+
+	"hollyspur/internal/durable"
+	"hollyspur/internal/node"
 )
 
 func call(args ...string) (code int, out, errOut string) {
@@ -97,3 +101,60 @@
 		t.Errorf("the log does not tell of the fault: %q", errs)
 	}
 }
+
+// Files of state: what is whole is shown, what is damaged is named and moved aside, and nothing is lost.
+func TestState(t *testing.T) {
+	dir := t.TempDir()
+	s, err := durable.Open(durable.Options{Dir: dir, Kind: node.StateKind, Schema: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		if err := s.Save([]byte(`{"tier":0,"window":4,"classes":[],"servers":[{"id":"s1","boot":0,"samples":3}]}`), time.Unix(1_800_000_000, 0)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	files, err := filepath.Glob(filepath.Join(dir, "*"+durable.Suffix))
+	if err != nil || len(files) != 3 {
+		t.Fatal(files, err)
+	}
+	text, err := os.ReadFile(files[2])
+	if err != nil {
+		t.Fatal(err)
+	}
+	text[len(text)-20] ^= 1
+	if err := os.WriteFile(files[2], text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	none := filepath.Join(dir, "none")
+	for _, c := range []struct {
+		args      []string
+		code      int
+		out, errs string
+	}{
+		{[]string{"state", "verify", files[0], files[1]}, held, "whole: kind node, number 2", ""},
+		{[]string{"state", "verify", dir}, notHeld, files[2] + ": DAMAGED: the checksum does not fit", ""},
+		{[]string{"state", "verify", none}, couldNot, "", "no such file"},
+		{[]string{"state", "inspect", files[1]}, held, `"id": "s1"`, ""},
+		{[]string{"state", "inspect", "--json", files[1]}, held, `"taken":"2027-01-15T08:00:00Z"`, ""},
+		{[]string{"state", "inspect", files[2]}, couldNot, "", files[2] + ": the checksum does not fit"},
+		{[]string{"state", "repair", dir}, couldNot, "", "another process keeps its state there"},
+	} {
+		code, out, errs := call(c.args...)
+		if code != c.code || !strings.Contains(out, c.out) || !strings.Contains(errs, c.errs) || strings.Count(errs, "\n") > 1 {
+			t.Errorf("%v: exit %d, output %q, errors %q", c.args, code, out, errs)
+		}
+	}
+	s.Close()
+	if code, out, errs := call("state", "repair", dir); code != held || !strings.Contains(out, "1 moved; the process goes on from "+files[1]) {
+		t.Errorf("repair: exit %d, %q, %q", code, out, errs)
+	}
+	if aside, err := filepath.Glob(filepath.Join(dir, "damaged", "*")); err != nil || len(aside) != 1 {
+		t.Errorf("moved aside: %v, %v", aside, err)
+	} else if kept, err := os.ReadFile(aside[0]); err != nil || !bytes.Equal(kept, text) {
+		t.Errorf("the damaged file is another: %v", err)
+	}
+	if code, out, _ := call("state", "verify", dir); code != held {
+		t.Errorf("after the repair: exit %d, %q", code, out)
+	}
+}
--- a/hollyspur.go
+++ b/hollyspur.go
@@ -1,7 +1,7 @@
 // Package hollyspur decides where a load balancer sends each request, when it tries again and
 // when it gives up. It does no I/O: the host feeds events to a Balancer and carries out the
-// actions it returns, and may ask how many servers it Avoided. This file is the whole interface but for
-// New and that; every decision is in policy.go.
+// actions it returns, and may ask how many servers it Avoided and what it has Learned. This file is the whole
+// interface but for New, those and Memory; every decision is in policy.go and memory.go.
 //
 // A Balancer belongs to one goroutine. Its only clock is the now given to Handle, which must
 // never go back, and its only randomness is the seed given to New, so the same events always
@@ -81,6 +81,8 @@
 	WarmAfter    time.Duration // time after which it has all of it
 	FallMultiple float64       // a fresh server sent more than this times its capacity
 	FallFor      time.Duration // for this long falls over
+
+	Remember time.Duration // what was learned so long ago counts for nothing; 0: nothing is taken over
 }
 
 // Validate returns an error that names the setting at fault, or nil.
@@ -94,7 +96,7 @@
 		{"Tier", s.Tier >= 0}, {"MaxAttempts", s.MaxAttempts >= 0}, {"AskWithin", s.AskWithin >= 0},
 		{"Tick", s.Tick >= 0}, {"MaxRetryAfter", s.MaxRetryAfter >= 0},
 		{"ColdFrom", s.ColdFrom >= 0 && s.ColdFrom <= 1}, {"WarmAfter", s.WarmAfter >= 0},
-		{"FallMultiple", s.FallMultiple >= 0}, {"FallFor", s.FallFor >= 0},
+		{"FallMultiple", s.FallMultiple >= 0}, {"FallFor", s.FallFor >= 0}, {"Remember", s.Remember >= 0},
 	}
 	for i, c := range s.Classes {
 		at := fmt.Sprintf("Classes[%d]", i)
@@ -202,6 +204,12 @@
 	Timer struct{ Token string }
 	// Retuned brings other settings, for requests that come from now on.
 	Retuned struct{ Settings Settings }
+	// Recalled brings what an earlier process had Learned, Age ago, to one that has heard of no server yet. Settings.Remember
+	// bounds the age; what cannot be, or was learned under other settings, is passed over.
+	Recalled struct {
+		Memory Memory
+		Age    time.Duration
+	}
 )
 
 func (ServerList) event() {}
@@ -213,6 +221,7 @@
 func (ClientGone) event() {}
 func (Timer) event()      {}
 func (Retuned) event()    {}
+func (Recalled) event()   {}
 
 // Action is something the host must do, in the order given: one of the types below.
 type Action interface{ action() }
--- a/internal/lab/compare/compare.go
+++ b/internal/lab/compare/compare.go
@@ -21,6 +21,7 @@
 	{"served_share", func(r *lab.Result) float64 { return r.Served }},
 	{"worth_share", func(r *lab.Result) float64 { return r.Worth }},
 	{"tail_served", func(r *lab.Result) float64 { return r.TailServed }},
+	{"after_restart", func(r *lab.Result) float64 { return r.AfterKill }},
 	{"p99_ms", worstP99},
 	{"attempts_per_request", func(r *lab.Result) float64 { return r.Attempts }},
 	{"tries_per_request", func(r *lab.Result) float64 { return r.Tries }},
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -328,8 +329,12 @@
 	a.mu.Lock()
 	known := a.whole
 	a.mu.Unlock()
+	var state any
+	if s := f.w.Site.State; s.Keep {
+		state = map[string]any{"dir": filepath.Join(f.dir, n.Name+".state"), "every_ms": s.Every.D().Milliseconds(), "max_age_ms": s.Age.D().Milliseconds()}
+	}
 	text, err := json.Marshal(map[string]any{
-		"name": n.Name, "listen": f.nodeAddr(node), "discovery": a.addr, "seed": fmt.Sprintf("%016x", seed),
+		"state": state, "name": n.Name, "listen": f.nodeAddr(node), "discovery": a.addr, "seed": fmt.Sprintf("%016x", seed),
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": l.MemoryMB, "sockets": l.Sockets},
 		"known":    json.RawMessage(known),
 		"settings": json.RawMessage(f.w.Site.Settings(node)),
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -43,7 +44,8 @@
 	Asked       int                     `json:"asked"`
 	Served      float64                 `json:"served_share"` // within the aim
 	Worth       float64                 `json:"worth_share"`
-	TailServed  float64                 `json:"tail_served"` // in the last quarter of the load
+	TailServed  float64                 `json:"tail_served"`   // in the last quarter of the load
+	AfterKill   float64                 `json:"after_restart"` // served share in the 5 s after killed nodes are back over that in the 5 s before, mean of all kills; 0: none
 	RulesBroken int                     `json:"rules_broken"`
 	Rules       map[string]int          `json:"rules"`
 	Violations  []oracle.Violation      `json:"violations"`
@@ -363,6 +365,7 @@
 	res.Served = share(float64(r.sums.served), float64(res.Asked-gone))
 	res.Worth = share(r.sums.worth, r.sums.worthAsked)
 	res.TailServed = share(float64(r.sums.tail), float64(r.sums.tailAsked))
+	res.AfterKill = afterKill(res)
 	res.LateShare = share(float64(r.late), float64(res.Asked))
 	res.LateWorstMS = r.worst.Seconds() * 1000
 	res.Valid = !partial && res.LateShare <= lateMost && res.Asked > 0
@@ -373,6 +376,31 @@
 	r.expect()
 }
 
+// aroundKill is how many seconds before and after a kill are looked at.
+const aroundKill = 5
+
+// afterKill reckons Result.AfterKill. Kills that come sooner than that one after another are looked at all the same.
+func afterKill(res *Result) float64 {
+	served := func(from, to int) float64 {
+		s, n := 0, 0
+		for _, sec := range res.Series[max(0, min(from, len(res.Series))):max(0, min(to, len(res.Series)))] {
+			for c := range sec.Asked {
+				s, n = s+sec.Served[c], n+sec.Asked[c]
+			}
+		}
+		return share(float64(s), float64(n))
+	}
+	sum, kills := 0.0, 0
+	for _, m := range res.Faults {
+		if before := served(int(m.From)-aroundKill, int(m.From)); m.Kind == "kill" && before > 0 && m.To < res.Seconds-1 {
+			back := int(math.Ceil(m.To))
+			sum += served(back, back+aroundKill) / before
+			kills++
+		}
+	}
+	return share(sum, float64(kills))
+}
+
 func share(part, whole float64) float64 {
 	if whole == 0 {
 		return 0
@@ -395,6 +423,9 @@
 	least("served_share", res.Served, e.Served)
 	least("worth_share", res.Worth, e.Worth)
 	least("tail_served", res.TailServed, e.TailServed)
+	if e.After > 0 {
+		least("after_restart", res.AfterKill, e.After)
+	}
 	for _, name := range res.ClassNames {
 		least("served_share of "+name, res.Classes[name].Share, e.Class[name])
 		if p := res.Classes[name].P99MS; e.P99 > 0 && p > e.P99.D().Seconds()*1000 {
@@ -435,6 +466,9 @@
 			parsed[n.Tier] = s
 		}
 		s.Index = n.Index
+		if r.site.State.Keep {
+			s.Remember = r.site.State.Age.D()
+		}
 		return s
 	}
 	f := virtual.New(r.world, settings, func(_ int, s hollyspur.Settings, seed uint64) (virtual.Module, error) { return mk(s, seed) }, r.ready)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -249,6 +249,8 @@
 func TestOracleIsProven(t *testing.T) {
 	drain := "\n[[fault]]\nkind = \"drain\"\nat = \"300ms\"\nfor = \"2s\"\nnames = [\"web-0\"]\n"
 	fresh := "\n[[fault]]\nkind = \"crash\"\nat = \"100ms\"\nfor = \"300ms\"\nnames = [\"web-0\"]\n"
+	killed := "\n[[fault]]\nkind = \"kill\"\nat = \"500ms\"\nfor = \"200ms\"\nevery = \"600ms\"\nrepeat = 3\ncount = 1\n"
+	slow := "\n[[fault]]\nkind = \"slow\"\nat = \"100ms\"\nfor = \"2s\"\ntier = \"web\"\nfactor = 60\n" // so that much is in hand
 	for mode, c := range map[string]struct{ rule, fault, set string }{
 		"silent":    {rule: oracle.Lost},
 		"hang-up":   {rule: oracle.Lost},
@@ -264,7 +266,8 @@
 		"make-up":   {rule: oracle.Spoilt},
 		"die":       {rule: oracle.Crash},
 		"hoard":     {rule: oracle.Limits, set: "limits.sockets=64"},
-		"right":     {fault: drain + fresh},
+		"resend":    {rule: oracle.Twice, fault: killed + slow, set: "state.keep=true"},
+		"right":     {fault: drain + fresh + killed + slow, set: "state.keep=true"},
 	} {
 		t.Run(mode, func(t *testing.T) {
 			t.Parallel()
--- /dev/null
+++ b/internal/lab/report/served.go
@@ -0,0 +1,50 @@
+package report
+
+import (
+	"errors"
+	"io"
+
+	"gonum.org/v1/plot/plotter"
+
+	"hollyspur/internal/lab"
+)
+
+// Served draws what several ways of playing serve second by second, each the mean of its runs, as SVG. The faults are those
+// of the first run.
+func Served(w io.Writer, names []string, runs [][]*lab.Result) error {
+	if len(runs) == 0 || len(runs) != len(names) || len(runs[0]) == 0 {
+		return errors.New("nothing was played")
+	}
+	c := chart{unit: "share served", marks: runs[0][0].Faults, most: 1}
+	for k, side := range runs {
+		c.lines = append(c.lines, line{name: names[k], values: meanServed(side)})
+	}
+	svg, err := render(c)
+	if err != nil {
+		return err
+	}
+	_, err = io.WriteString(w, svg)
+	return err
+}
+
+// meanServed is the share served of what came in each second, over all runs.
+func meanServed(runs []*lab.Result) (xy plotter.XYs) {
+	var asked, served []int
+	for _, r := range runs {
+		for i := range r.Series {
+			if i == len(asked) {
+				asked, served = append(asked, 0), append(served, 0)
+			}
+			for k := range r.Series[i].Asked {
+				asked[i] += r.Series[i].Asked[k]
+				served[i] += r.Series[i].Served[k]
+			}
+		}
+	}
+	for i := range asked {
+		if asked[i] > 0 {
+			xy = append(xy, plotter.XY{X: float64(i) + 0.5, Y: float64(served[i]) / float64(asked[i])})
+		}
+	}
+	return xy
+}
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -14,6 +14,7 @@
 		Clients:   Clients{Retries: 2, Backoff: Duration(200 * time.Millisecond), TryShare: 0.55, Impatient: 0.03, Honour: 0.2, MarksRetry: true},
 		Discovery: Discovery{Delay: []Duration{Duration(300 * time.Millisecond), Duration(1500 * time.Millisecond)}, Period: Duration(200 * time.Millisecond), Notice: Duration(4 * time.Second), Front: Duration(2 * time.Second)},
 		Registry:  Registry{TTL: Duration(2 * time.Second)},
+		State:     State{Every: Duration(time.Second), Age: Duration(time.Minute)},
 		Net:       Net{Same: Duration(200 * time.Microsecond), Cross: Duration(2 * time.Millisecond)},
 		Limits: Limits{MaxAttempts: 6, SecondCopies: true, Cancel: true, RetryAfter: Duration(2 * time.Second),
 			Connect: Duration(250 * time.Millisecond), Idle: Duration(30 * time.Second), DrainWithin: Duration(500 * time.Millisecond),
@@ -153,6 +154,8 @@
 	c.must(s.Registry.Replicas >= 0 && s.Registry.Replicas <= 7, "registry.replicas", "%d is not between 0 and 7", s.Registry.Replicas)
 	c.must(s.Registry.TTL >= Duration(500*time.Millisecond), "registry.ttl", "%v is below 500ms", s.Registry.TTL)
 	c.must(s.Net.Same >= 0, "net.same_zone", "is negative")
+	c.must(s.State.Every >= Duration(time.Millisecond), "state.every", "%v is below a millisecond", s.State.Every)
+	c.must(s.State.Age >= Duration(time.Millisecond), "state.max_age", "%v is below a millisecond", s.State.Age)
 	c.must(s.Net.Cross >= 0, "net.cross_zone", "is negative")
 	s.Limits.check(c)
 	for i := range s.Faults {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -41,6 +41,7 @@
 	Clients   Clients   `toml:"clients"`
 	Discovery Discovery `toml:"discovery"`
 	Registry  Registry  `toml:"registry"`
+	State     State     `toml:"state"`
 	Net       Net       `toml:"net"`
 	Limits    Limits    `toml:"limits"`
 	Faults    []Fault   `toml:"fault"`
@@ -134,6 +135,13 @@
 	NoGuard  bool     `toml:"no_guard"` // believe every lease that ends, to see what the guard is for
 }
 
+// State is what nodes keep of what they have learned, for the process after them.
+type State struct {
+	Keep  bool     `toml:"keep"`  // they have a disk that survives them
+	Every Duration `toml:"every"` // between snapshots
+	Age   Duration `toml:"max_age"`
+}
+
 // Net is the time messages take; on the real clock the machine adds its own.
 type Net struct {
 	Same  Duration `toml:"same_zone"`
@@ -187,8 +195,9 @@
 	Class       map[string]float64 `toml:"class_served"` // at least, by class
 	P99         Duration           `toml:"p99"`          // of what is served, at most
 	Attempts    float64            `toml:"attempts_per_request"`
-	RulesBroken int                `toml:"rules_broken"` // at most
-	TailServed  float64            `toml:"tail_served"`  // share served in the last quarter, at least
+	RulesBroken int                `toml:"rules_broken"`  // at most
+	TailServed  float64            `toml:"tail_served"`   // share served in the last quarter, at least
+	After       float64            `toml:"after_restart"` // see lab.Result; at least
 }
 
 // Shorten sets another duration and leaves out the faults that it does not reach.
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -21,6 +21,7 @@
 // Module decides for one node; hollyspur.Balancer does.
 type Module interface {
 	Handle(now time.Duration, e hollyspur.Event) []hollyspur.Action
+	Learned(now time.Duration) hollyspur.Memory
 }
 
 // ownDelay is what a node leaves of a caller's time for the way back.
@@ -49,7 +50,9 @@
 	f       *Fleet
 	index   int
 	module  Module
-	life    int // counts starts, so that what belongs to an earlier process is known
+	kept    hollyspur.Memory // what its disk has of an earlier process, where there is a disk
+	keptAt  time.Duration    // by the node's clock; 0: nothing
+	life    int              // counts starts, so that what belongs to an earlier process is known
 	up      bool
 	paused  bool
 	held    []func() // what waits for a paused process
@@ -314,10 +317,27 @@
 	}
 	n.module, n.up, n.paused, n.held = m, true, false, nil
 	n.life++
+	if w.Site.State.Keep {
+		if n.keptAt > 0 {
+			m.Handle(n.clock(), hollyspur.Recalled{Memory: n.kept, Age: n.clock() - n.keptAt})
+		}
+		n.keep(n.life)
+	}
 	n.calls, n.idle, n.queue = map[string]*call{}, map[int][]time.Duration{}, nil
 	return true
 }
 
+// keep puts what the module has learned on the disk every now and then, as long as the process lasts.
+func (n *node) keep(life int) {
+	n.f.w.Loop.After(n.f.w.Site.State.Every.D(), func() {
+		if n.life != life {
+			return
+		}
+		n.run(func() { n.kept, n.keptAt = n.module.Learned(n.clock()), n.clock() })
+		n.keep(life)
+	})
+}
+
 // kill ends the process: whoever waits for it hears a reset, and its attempts go on without it.
 func (n *node) kill() {
 	if !n.up {
--- a/internal/lab/wrong_test.go
+++ b/internal/lab/wrong_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,7 @@
 	targets []wrongTarget
 	next    atomic.Int64
 	hoard   []*os.File
+	journal string // a folder of what is in hand, for the process after this one
 }
 
 // wrongNode is the program of a node that breaks one rule.
@@ -42,6 +44,7 @@
 	var cfg struct {
 		Listen, Discovery string
 		Known             struct{ Targets []wrongTarget }
+		State             struct{ Dir string }
 	}
 	if err := json.Unmarshal(text, &cfg); err != nil {
 		panic(err)
@@ -50,6 +53,11 @@
 	if mode != "deaf" {
 		go s.follow(cfg.Discovery)
 	}
+	if mode == "resend" {
+		if err := s.resend(cfg.State.Dir); err != nil {
+			panic(err)
+		}
+	}
 	panic(http.ListenAndServe(cfg.Listen, s))
 }
 
@@ -70,6 +78,29 @@
 	}
 }
 
+// resend sends again what the process before this one had in hand when it died.
+func (s *wrongServer) resend(dir string) error {
+	s.journal = dir
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return err
+	}
+	left, err := os.ReadDir(dir)
+	for _, f := range left {
+		text, err := os.ReadFile(filepath.Join(dir, f.Name()))
+		if err != nil {
+			return err
+		}
+		path, body, _ := strings.Cut(string(text), "\n")
+		req, err := http.NewRequest("POST", "http://"+s.pick()+path, strings.NewReader(body))
+		if err != nil {
+			return err
+		}
+		req.Header.Set("X-Correlation-Id", f.Name())
+		go http.DefaultClient.Do(req) // whoever asked has gone
+	}
+	return err
+}
+
 // pick takes the serving servers in turn; a crowd takes the one that started last.
 func (s *wrongServer) pick() string {
 	s.mu.Lock()
@@ -122,6 +153,12 @@
 		panic(http.ErrAbortHandler)
 	case s.mode == "die" && s.next.Add(1) > 10:
 		os.Exit(7)
+	case s.mode == "resend" && class == "pay":
+		held := filepath.Join(s.journal, id)
+		if err := os.WriteFile(held, []byte(path+"\n"+string(body)), 0o600); err != nil {
+			panic(err)
+		}
+		defer os.Remove(held)
 	case s.mode == "twice" && class == "pay", s.mode == "elsewhere" && class == "apply":
 		send(path, id)
 	case s.mode == "many" && class == "read":
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -25,6 +25,7 @@
 	Sockets   int     // file descriptors that the process may hold
 	Known     List    // the servers as this node last had them
 	Registry  Registry
+	State     State
 	Settings  hollyspur.Settings
 	Conns     wire.Connections
 	shape     any // the file as decoded, for a later one to be compared with
@@ -64,6 +65,7 @@
 		} `json:"limits"`
 		Known    json.RawMessage `json:"known"`
 		Registry Registry        `json:"registry"`
+		State    json.RawMessage `json:"state"`
 		Settings json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(text, &raw); err != nil {
@@ -106,6 +108,10 @@
 	if c.Settings, c.Conns, err = wire.ParseSettings(raw.Settings); err != nil {
 		return Config{}, err
 	}
+	if c.State, err = parseState(raw.State); err != nil {
+		return Config{}, err
+	}
+	c.Settings.Remember = c.State.Age
 	if c.Conns.Idle <= 0 {
 		c.Conns.Idle = defaultConnIdle
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -68,6 +68,7 @@
 type module interface {
 	Handle(now time.Duration, e hollyspur.Event) []hollyspur.Action
 	Avoided(now time.Duration) int
+	Learned(now time.Duration) hollyspur.Memory
 }
 
 // loop owns the module. All its methods but post run on the one goroutine of run; I/O happens on
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	control  *control // nil: no address was told
 	known    List
 	registry *client.Reader // nil: the node follows discovery
+	keeper   *keeper        // nil: it keeps nothing for the process after it
 	linger   time.Duration  // how long a stopping node goes on as before
 	patience atomic.Int64   // how long callers may wait for what a stopping node has taken
 	shape    any            // of the configuration in force; see Config
@@ -66,6 +67,7 @@
 		}
 		n.setShare(startingShare)
 	}
+	n.keeper = newKeeper(cfg)
 	n.patience.Store(int64(patienceFor(cfg.Settings)))
 	n.shape = cfg.shape
 	if cfg.Control != "" {
@@ -147,7 +149,16 @@
 		defer n.control.close()
 		go n.control.serve()
 	}
+	var recalled hollyspur.Recalled
+	known := false
+	if n.keeper != nil {
+		recalled, known = n.keeper.recall(time.Now())
+		go n.keeper.run(running, n.loop.learned)
+	}
 	n.loop.post(func() {
+		if known {
+			n.loop.handle(recalled)
+		}
 		n.loop.takeList(n.known, true)
 		if n.loop.pushed {
 			n.loop.subscribe()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -84,7 +84,8 @@
 
 func (f moduleFunc) Handle(_ time.Duration, e hollyspur.Event) []hollyspur.Action { return f(e) }
 
-func (moduleFunc) Avoided(time.Duration) int { return 0 }
+func (moduleFunc) Avoided(time.Duration) int              { return 0 }
+func (moduleFunc) Learned(time.Duration) hollyspur.Memory { return hollyspur.Memory{} }
 
 // listen serves each connection of a stub with serve.
 func listen(t *testing.T, serve func(c net.Conn, r *bufio.Reader)) (addr string) {
--- a/policy.go
+++ b/policy.go
@@ -71,6 +71,8 @@
 		b.takeTimer(e)
 	case Retuned:
 		b.retune(e.Settings)
+	case Recalled:
+		b.recall(e)
 	}
 	return b.out
 }
@@ -120,7 +122,8 @@
 	var news []*server
 	for _, n := range e.Servers {
 		s := b.servers[n.ID]
-		if s == nil {
+		fresh := s == nil
+		if fresh {
 			s = &server{}
 			b.servers[n.ID] = s
 		} else if s.Boot != n.Boot {
@@ -128,6 +131,9 @@
 		}
 		s.Server = n
 		s.listed = n.State != Gone
+		if fresh {
+			b.remind(s)
+		}
 		news = append(news, s)
 	}
 	if e.Full {
@@ -135,7 +141,10 @@
 	}
 	b.arrange(news)
 	if b.window == 0 {
-		b.window = windowStart * b.fairServers()
+		b.window = b.firstWindow()
+	}
+	if e.Full && !e.Cached {
+		b.recalled = nil // whoever comes from now on is new
 	}
 	if e.Cached {
 		b.askAgain()
@@ -918,6 +927,10 @@
 	// taken for a crowd until nothing is sent.
 	if b.fill > limit {
 		b.window -= windowDown * min(1, b.window)
+		if b.unsure { // a window from before a restart has borne no more than is out now
+			b.unsure = false
+			b.window = min(b.window, float64(b.inFlight))
+		}
 	} else if float64(b.inFlight+1) >= 0.8*b.window {
 		b.window += windowUp * min(1, b.window) * (1 + windowHurry*(1-b.fill/max(limit, 1e-9)))
 	}
--- a/state.go
+++ b/state.go
@@ -35,7 +35,9 @@
 	bare      float64       // least calm seen, forgetting slowly
 	debtAt    time.Duration // when that was reckoned
 	inFlight  int
-	shed      float64 // share of requests answered without an attempt
+	shed      float64   // share of requests answered without an attempt
+	recalled  *recalled // from before the start, until a list has come; nil: nothing
+	unsure    bool      // the window is from before the start and was not too large so far
 	subFails  int
 	subWanted time.Duration
 }
