--- a/cmd/umberbank/regbench.go
+++ b/cmd/umberbank/regbench.go
@@ -2,16 +2,20 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"os"
 	"text/tabwriter"
 
 	"hollyspur/internal/registry/bench"
 )
 
 type registryBenchCmd struct {
-	Instances int  `help:"Servers in the list." default:"10000"`
-	Watches   int  `help:"Watchers of it." default:"2000"`
-	JSON      bool `help:"Print one JSON object."`
+	Instances int    `help:"Servers in the list." default:"10000"`
+	Watches   int    `help:"Watchers of it." default:"2000"`
+	Lengths   []int  `help:"Only what a change costs, over lists of these lengths." placeholder:"N,N,..."`
+	Plot      string `help:"With --lengths: draw it (SVG)." placeholder:"FILE"`
+	JSON      bool   `help:"Print one JSON object; one a length with --lengths."`
 }
 
 // Help is shown by --help.
@@ -19,10 +23,17 @@
 	return `Three replicas on this machine, as processes. Wants cores that do nothing else.
 
 Example:
-  umberbank registry bench --instances 10000 --watches 2000 --json`
+  umberbank registry bench --instances 10000 --watches 2000 --json
+  umberbank registry bench --lengths 10,100,1000,10000 --watches 200 --plot change.svg`
 }
 
 func (c *registryBenchCmd) Run(a *app) error {
+	if len(c.Lengths) > 0 {
+		return c.lengths(a)
+	}
+	if c.Plot != "" {
+		return errors.New("--plot: only with --lengths")
+	}
 	r, err := bench.Measure(a.ctx, bench.Options{Instances: c.Instances, Watches: c.Watches, Step: func(s string) { a.log.Info(s) }})
 	if err != nil {
 		return err
@@ -39,3 +50,35 @@
 	fmt.Fprintf(t, "all watchers back\t%.2f s, %.1f%% without a whole list\n", r.StormS, 100*r.Resumed)
 	return t.Flush()
 }
+
+// lengths measures what a change costs over lists of several lengths.
+func (c *registryBenchCmd) lengths(a *app) error {
+	l, err := bench.Lengths(a.ctx, bench.Options{Watches: c.Watches, Step: func(s string) { a.log.Info(s) }}, c.Lengths)
+	if err != nil {
+		return err
+	}
+	if c.Plot != "" {
+		f, err := os.Create(c.Plot)
+		if err != nil {
+			return err
+		}
+		if err := errors.Join(bench.Draw(f, l), f.Close()); err != nil {
+			return fmt.Errorf("%s: %w", c.Plot, err)
+		}
+	}
+	if c.JSON {
+		enc := json.NewEncoder(a.out)
+		for _, r := range l {
+			if err := enc.Encode(r); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	t := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "instances\twrite ms\tto watchers p50 ms\tp99 ms\tprocessor ms\t")
+	for _, r := range l {
+		fmt.Fprintf(t, "%d\t%.2f\t%.2f\t%.2f\t%.2f\t\n", r.Instances, r.WriteMeanMS, r.P50, r.P99, r.CPUMS)
+	}
+	return t.Flush()
+}
--- a/policy.go
+++ b/policy.go
@@ -927,9 +927,9 @@
 	// taken for a crowd until nothing is sent.
 	if b.fill > limit {
 		b.window -= windowDown * min(1, b.window)
-		if b.unsure { // a window from before a restart has borne no more than is out now
+		if b.unsure { // nothing shows that a window from before a restart bears much more than is out now
 			b.unsure = false
-			b.window = min(b.window, float64(b.inFlight))
+			b.window = min(b.window, 2*float64(b.inFlight))
 		}
 	} else if float64(b.inFlight+1) >= 0.8*b.window {
 		b.window += windowUp * min(1, b.window) * (1 + windowHurry*(1-b.fill/max(limit, 1e-9)))
