The window grows no faster than its averages can tell

A copy of a large fleet has a call or two out, and its averages go over 16 answers besides: many latencies, over which it grew by a fifth at each.

Change: the hurry counts by the share of the window in what the averages go over, so that it is the same for one copy and for many. The averages go over the window again, and over what is in flight only while a remembered window is unsure.

--- a/policy.go
+++ b/policy.go
@@ -908,7 +908,10 @@
 	if e.Ending != Success {
 		over = max(over, 1)
 	}
-	answers := min(b.window, float64(b.inFlight)) + 16 // that come while one is out, and some against noise
+	answers := b.window + 16 // that come while one is out, and some against noise
+	if b.unsure {
+		answers = min(b.window, float64(b.inFlight)) + 16
+	}
 	b.fill += 2 / answers * (min(over, 1) - b.fill)
 	b.calm += 0.5 / answers * (min(over, 1) - b.calm)
 	// The least of a mean of few answers is mostly noise, the more so the smaller the fleet.
@@ -932,7 +935,9 @@
 			b.window = min(b.window, 2*float64(b.inFlight))
 		}
 	} else if float64(b.inFlight+1) >= 0.8*b.window {
-		b.window += windowUp * min(1, b.window) * (1 + windowHurry*(1-b.fill/max(limit, 1e-9)))
+		// No faster than the averages can tell: over few calls out they take many latencies.
+		hurry := windowHurry * b.window / answers * (1 - b.fill/max(limit, 1e-9))
+		b.window += windowUp * min(1, b.window) * (1 + hurry)
 	}
 	b.window = max(b.window, floor)
 }
