--- a/internal/durable/durable_test.go
+++ b/internal/durable/durable_test.go
@@ -37,13 +37,23 @@
 	if _, err := fmt.Sscanf(string(s.Payload), "state %d", &n); err != nil || !bytes.Equal(s.Payload, payload(n)) {
 		t.Fatalf("%q was never saved", s.Payload)
 	}
+	bad := durable.Replay(o, s.Seq, func(r []byte) error {
+		n++
+		if !bytes.Equal(r, payload(n)) {
+			t.Fatalf("%q comes after state %d", r, n-1)
+		}
+		return nil
+	})
+	if bad != nil {
+		thrown = append(thrown, *bad)
+	}
 	return n, thrown
 }
 
 const saves = 7
 
-// session opens the folder and saves until something fails. It returns the last state whose Save returned nil and the last
-// that was tried.
+// session opens the folder and keeps one state after another, every third as a snapshot, the others as records of the
+// log. It returns the last state that was kept for good and the last that was tried.
 func session(fsys durable.FS, from int) (acked, tried int) {
 	acked, tried = -1, -1
 	s, err := durable.Open(options(fsys))
@@ -53,7 +63,13 @@
 	defer s.Close()
 	for n := from; n < from+saves; n++ {
 		tried = n
-		if s.Save(payload(n), epoch) == nil {
+		var err error
+		if n%3 == from%3 {
+			err = s.Save(payload(n), epoch)
+		} else {
+			err = s.Append(payload(n))
+		}
+		if err == nil {
 			acked = n
 		}
 	}
@@ -85,9 +101,6 @@
 		}
 	}
 	crash(faulty.New, -1, 0, func(after *faulty.FS, got int) {
-		if points%7 != 0 { // the second session of some of them
-			return
-		}
 		crash(func() *faulty.FS {
 			f := faulty.New()
 			names, _ := after.ReadDir("d")
@@ -104,24 +117,25 @@
 	}
 }
 
-// Any one step fails, as on a full, a read-only or a dying disk: Save says so or the state lasts, and the next Save stands by
-// itself, also after a sync that failed once.
+// Any one step fails, as on a full, a read-only or a dying disk, and the power goes at any step after it: what was said to be
+// kept is there. Save and Append go on from a fault by themselves, also from a sync that failed once.
 func TestFailingDisk(t *testing.T) {
+	steps := func(f *faulty.FS) int { session(f, 0); return f.Steps }
+	all := steps(faulty.New())
 	for _, fail := range []error{syscall.ENOSPC, syscall.EROFS, syscall.EIO} {
-		for at := 0; ; at++ {
-			f := faulty.New()
-			f.FailAt, f.Fail = at, fail
-			acked, tried := session(f, 0)
-			f.Outcomes(func(after *faulty.FS) {
-				if got, _ := load(t, options(after)); got < acked || got > tried {
-					t.Fatalf("%v at step %d: %d is loaded, %d was saved last", fail, at, got, acked)
+		for at := range all {
+			for crash := at + 1; crash <= all+1; crash++ {
+				f := faulty.New()
+				f.FailAt, f.Fail, f.CrashAt = at, fail, crash
+				acked, tried := session(f, 0)
+				f.Outcomes(func(after *faulty.FS) {
+					if got, _ := load(t, options(after)); got < acked || got > tried {
+						t.Fatalf("%v at step %d, crash at %d: %d is loaded, %d was kept last", fail, at, crash, got, acked)
+					}
+				})
+				if at > 2 && crash > all && acked < saves-2 { // Open has come through, and no crash
+					t.Fatalf("%v at step %d: nothing was kept after %d", fail, at, acked)
 				}
-			})
-			if at > 2 && acked < saves-2 { // Open has come through
-				t.Fatalf("%v at step %d: nothing was saved after %d", fail, at, acked)
-			}
-			if f.Steps <= at {
-				break
 			}
 		}
 	}
@@ -132,10 +146,10 @@
 	f := faulty.New()
 	session(f, 0)
 	names, err := f.ReadDir("d")
-	if err != nil || len(names) != 2 {
+	if err != nil || len(names) != 3 { // two snapshots, and the log between them
 		t.Fatal(names, err)
 	}
-	newest := filepath.Join("d", names[1])
+	newest := filepath.Join("d", names[2])
 	whole, _ := f.ReadFile(newest)
 	points := 0
 	try := func(what string, text []byte) {
@@ -155,6 +169,25 @@
 		try(fmt.Sprintf("cut at %d", i), whole[:i])
 		try(fmt.Sprintf("%d more", i+1), append(bytes.Clone(whole), whole[:i+1]...))
 	}
+	// In the log of the newest snapshot they cost its records from there on, and no others.
+	f.Remove(newest)
+	log := filepath.Join("d", names[0])
+	whole, _ = f.ReadFile(log)
+	for i := range whole {
+		for bit := range 8 {
+			points++
+			spoilt := bytes.Clone(whole)
+			spoilt[i] ^= 1 << bit
+			f.Put(log, spoilt)
+			if got, thrown := load(t, options(f)); got < saves-4 || got > saves-3 || len(thrown) != 1 || thrown[0].File != log {
+				t.Fatalf("byte %d, bit %d of the log: %d is loaded, thrown %v", i, bit, got, thrown)
+			}
+		}
+		f.Put(log, whole[:i])
+		if got, _ := load(t, options(f)); got < saves-4 || got > saves-3 {
+			t.Fatalf("the log cut at %d: %d is loaded", i, got)
+		}
+	}
 	t.Logf("%d flips and cuts", points)
 }
 
@@ -192,7 +225,7 @@
 		}
 		return nil
 	})
-	if one == nil || !bytes.Equal(one.Payload, payload(100+saves-2)) || len(thrown) != 1 || !errors.Is(thrown[0].Reason, no) {
+	if one == nil || !bytes.Equal(one.Payload, payload(100+saves-4)) || len(thrown) != 1 || !errors.Is(thrown[0].Reason, no) {
 		t.Errorf("%v, thrown %v", one, thrown)
 	}
 	other := options(f)
--- a/internal/durable/faulty/faulty.go
+++ b/internal/durable/faulty/faulty.go
@@ -215,8 +215,8 @@
 // Ways a file that was not synced may look after the power went.
 const (
 	lost  = iota // as it last was on the disk
-	half         // the first half has come
-	holes        // all its length, and zeros for the first half
+	half         // the first half of what was added since has come
+	holes        // all of its length, and zeros for the first half of that
 	kept         // all of it
 	ways
 )
@@ -229,10 +229,10 @@
 	case lost:
 		return n.disk
 	case half:
-		return n.now[:len(n.now)/2]
+		return n.now[:(len(n.disk)+len(n.now))/2]
 	case holes:
 		b := slices.Clone(n.now)
-		clear(b[:len(b)/2])
+		clear(b[len(n.disk) : (len(n.disk)+len(b))/2])
 		return b
 	}
 	return n.now
--- a/internal/durable/store.go
+++ b/internal/durable/store.go
@@ -133,6 +133,13 @@
 	lock io.Closer
 	next uint64
 	old  []uint64 // that are there, the newest last
+
+	base    uint64 // of the snapshot that Append goes with; 0: none was saved yet
+	log     File   // nil: nothing was appended to it
+	size    int    // of its payload
+	records uint64
+	logSize int
+	failed  bool // what was last written may or may not be there
 }
 
 // Open makes the folder if there is none and takes its lock; ErrInUse: another process has it. What a process that died
@@ -179,16 +186,31 @@
 	}
 	path := s.opt.path(s.next)
 	if err := writeFile(s.opt.FS, path, path+unfinished, text); err != nil {
+		s.failed = true // it may be there all the same, and then the log before it counts for nothing
 		return err
 	}
+	if s.log != nil {
+		s.log.Close() // all that counts in it is synced
+	}
+	s.base, s.size, s.log, s.records, s.logSize, s.failed = s.next, len(payload), nil, 0, 0, false
 	s.old = append(s.old, s.next)
+	s.prune()
+	return nil
+}
+
+// SnapshotSize is how many bytes the payload of the last Save had; 0: there was none.
+func (s *Store) SnapshotSize() int { return s.size }
+
+// prune removes what is older than what is to be kept. What cannot be removed is tried again with the next.
+func (s *Store) prune() {
 	for len(s.old) > s.opt.Keep {
-		if err := s.opt.FS.Remove(s.opt.path(s.old[0])); err != nil && !errors.Is(err, fs.ErrNotExist) {
-			return nil // it is tried again with the next
+		for _, name := range []string{s.opt.logPath(s.old[0]), s.opt.path(s.old[0])} { // no log outlives its snapshot
+			if err := s.opt.FS.Remove(name); err != nil && !errors.Is(err, fs.ErrNotExist) {
+				return
+			}
 		}
 		s.old = s.old[1:]
 	}
-	return nil
 }
 
 // LockDir takes the lock of a folder of the machine, as Open does; ErrInUse: a process has it.
@@ -201,7 +223,13 @@
 }
 
 // Close lets others have the folder.
-func (s *Store) Close() error { return s.lock.Close() }
+func (s *Store) Close() error {
+	var err error
+	if s.log != nil {
+		err = s.log.Close()
+	}
+	return errors.Join(err, s.lock.Close())
+}
 
 // writeFile puts a file in place at once or not at all, by way of tmp, and returns when it lasts.
 func writeFile(fsys FS, path, tmp string, text []byte) error {
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -13,7 +13,7 @@
 // discovery.
 type Registry struct {
 	Endpoints []string `json:"endpoints"`
-	Cache     string   `json:"cache"` // a file that keeps the last list over restarts, where there is a disk; "": none
+	Cache     string   `json:"cache"` // a folder of this node alone that keeps the last list over restarts, where there is a disk; "": none
 }
 
 // followRegistry opens the Reader that the node is told to have, if it is.
@@ -21,7 +21,7 @@
 	if len(n.cfg.Registry.Endpoints) == 0 {
 		return nil
 	}
-	r, err := client.NewReader(client.Options{Endpoints: n.cfg.Registry.Endpoints, Cache: n.cfg.Registry.Cache})
+	r, err := client.NewReader(client.Options{Endpoints: n.cfg.Registry.Endpoints, Cache: n.cfg.Registry.Cache, Log: log.Printf})
 	if err != nil {
 		return err
 	}
--- a/internal/registry/client/client.go
+++ b/internal/registry/client/client.go
@@ -13,9 +13,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	mrand "math/rand/v2"
 	"net/http"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -24,7 +24,6 @@
 
 	"github.com/cenkalti/backoff/v5"
 
-	"hollyspur/internal/durable"
 	"hollyspur/internal/registry/state"
 )
 
@@ -40,17 +39,21 @@
 
 // Options say which registry, and how patient a client is.
 type Options struct {
-	Endpoints []string      // host:port of the replicas
-	Cache     string        // a file that keeps the last list over restarts; "": none
-	Silence   time.Duration // a watch that says nothing for so long is given up; 0: 5 s, over two heartbeats
-	RestFirst time.Duration // between tries, doubled up to RestMost, half of it by chance; 0: 50 ms
-	RestMost  time.Duration // 0: 2 s
+	Endpoints []string                         // host:port of the replicas
+	Cache     string                           // a folder that keeps the last list over restarts, for this client alone; "": none
+	Log       func(format string, args ...any) // what is wrong with the cache; nil: nobody hears
+	Silence   time.Duration                    // a watch that says nothing for so long is given up; 0: 5 s, over two heartbeats
+	RestFirst time.Duration                    // between tries, doubled up to RestMost, half of it by chance; 0: 50 ms
+	RestMost  time.Duration                    // 0: 2 s
 }
 
 func (o *Options) complete() error {
 	if len(o.Endpoints) == 0 {
 		return errors.New("no endpoint of a registry")
 	}
+	if o.Log == nil {
+		o.Log = func(string, ...any) {}
+	}
 	for _, d := range []struct {
 		v  *time.Duration
 		to time.Duration
@@ -86,8 +89,7 @@
 	heard   time.Time // when a replica last said something; zero: never, the list is from the cache
 	wholes  int       // whole lists taken
 	lines   int       // and changes
-
-	news chan struct{} // for the goroutine that keeps the cache: a disk may be slow, and news must not wait for it
+	cache   *cache    // nil: none
 }
 
 // NewReader returns a Reader that holds what its cache has, if that is whole.
@@ -95,15 +97,11 @@
 	if err := opt.complete(); err != nil {
 		return nil, err
 	}
-	r := &Reader{opt: opt, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, entries: map[string]*state.Entry{}, news: make(chan struct{}, 1)}
+	r := &Reader{opt: opt, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, entries: map[string]*state.Entry{}}
 	if opt.Cache != "" {
-		m, err := readCache(opt.Cache)
-		if err == nil {
-			r.take(m)
-			r.wholes = 0
-		} else if !errors.Is(err, os.ErrNotExist) {
-			return r, nil // a spoilt cache is as good as none: the first watch brings the whole list
-		}
+		c := newCache(opt.Cache)
+		c.load(r)
+		r.cache, r.wholes, r.lines = c, 0, 0
 	}
 	return r, nil
 }
@@ -122,19 +120,21 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	v := View{Rev: r.rev, Heard: r.heard, Wholes: r.wholes, Lines: r.lines}
-	for _, e := range r.entries {
-		v.Entries = append(v.Entries, e)
-	}
-	slices.SortFunc(v.Entries, func(a, b *state.Entry) int { return strings.Compare(a.UID, b.UID) })
+	v.Entries = r.sorted()
 	return v
 }
 
+// sorted is the list in the order of uids.
+func (r *Reader) sorted() []*state.Entry {
+	return slices.SortedFunc(maps.Values(r.entries), func(a, b *state.Entry) int { return strings.Compare(a.UID, b.UID) })
+}
+
 // Run follows the registry until ctx ends, and calls changed with each change, once it is applied. Whatever ends a watch, it goes on at
 // another replica after a rest.
 func (r *Reader) Run(ctx context.Context, changed func(Update)) error {
-	if r.opt.Cache != "" {
+	if r.cache != nil {
 		var keeping sync.WaitGroup
-		keeping.Go(func() { r.keepAll(ctx) })
+		keeping.Go(func() { r.cache.run(ctx, r) })
 		defer keeping.Wait()
 	}
 	at := mrand.IntN(len(r.opt.Endpoints))
@@ -198,10 +198,6 @@
 		r.heard = time.Now()
 		r.mu.Unlock()
 		if news {
-			select {
-			case r.news <- struct{}{}:
-			default: // it is about to look
-			}
 			changed(m)
 		}
 	}
@@ -228,59 +224,10 @@
 		}
 	}
 	r.rev = m.Rev
-	return true
-}
-
-// ---- The cache ----
-
-// What the cache's file is.
-const (
-	cacheKind   = "registry-list"
-	cacheSchema = 1
-)
-
-// keepAll keeps the list after each change, or the latest of several, until ctx ends.
-func (r *Reader) keepAll(ctx context.Context) {
-	for {
-		select {
-		case <-r.news:
-			r.keep()
-		case <-ctx.Done():
-			select {
-			case <-r.news:
-				r.keep()
-			default:
-			}
-			return
-		}
-	}
-}
-
-// keep writes the list to the cache. What cannot be written is not kept; the list in memory stands.
-func (r *Reader) keep() {
-	v := r.View()
-	text, err := json.Marshal(message{Rev: v.Rev, All: true, Targets: v.Entries})
-	if err != nil {
-		return
+	if r.cache != nil {
+		r.cache.add(m)
 	}
-	durable.WriteFile(r.opt.Cache, durable.Snapshot{Kind: cacheKind, Schema: cacheSchema, Seq: uint64(v.Rev), Taken: time.Now(), Payload: text})
-}
-
-func readCache(path string) (m message, err error) {
-	s, err := durable.ReadFile(path)
-	if err != nil {
-		return m, err
-	}
-	if s.Kind != cacheKind || s.Schema != cacheSchema {
-		return m, fmt.Errorf("%s: form %d of %s is no list that this version knows", path, s.Schema, s.Kind)
-	}
-	if err := json.Unmarshal(s.Payload, &m); err != nil {
-		return m, err
-	}
-	if !m.All || m.Targets == nil {
-		return m, fmt.Errorf("%s: no whole list", path)
-	}
-	return m, nil
+	return true
 }
 
 // ---- Writing ----
--- a/internal/registry/client/client_test.go
+++ b/internal/registry/client/client_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +16,7 @@
 
 	"go.uber.org/goleak"
 
+	"hollyspur/internal/durable"
 	"hollyspur/internal/registry/state"
 )
 
@@ -138,28 +140,107 @@
 		func(v View) bool { return v.Rev == 5 })
 }
 
-// The cache brings the last list over a restart; one that was spoilt, however, is none.
+// The cache brings the last list over a restart, a snapshot with the changes since. However it is spoilt, what is taken
+// from it is a list that the registry once had.
 func TestCache(t *testing.T) {
-	cache := filepath.Join(t.TempDir(), "list")
-	f := &fake{scripts: [][]string{{list(7, true, "a", "b") + "\n", "hang"}}}
-	follow(t, Options{Endpoints: []string{serve(t, f)}, Cache: cache}, func(v View) bool { return v.Rev == 7 })
-	r, err := NewReader(Options{Endpoints: []string{"127.0.0.1:1"}, Cache: cache})
-	if v := r.View(); err != nil || v.Rev != 7 || uids(v) != "a b" || !v.Heard.IsZero() {
-		t.Errorf("after a restart: %+v, %v", v, err)
-	}
-	whole, err := os.ReadFile(cache)
+	cache := filepath.Join(t.TempDir(), "cache")
+	had := map[int64]string{7: "a b", 8: "a b c", 9: "b c", 0: ""}
+	f := &fake{scripts: [][]string{
+		{list(7, true, "a", "b") + "\n", "hang"}, // a silence each, so that what came is written by itself
+		{list(8, false, "c") + "\n", "hang"},
+		{list(9, false, "-a") + "\n", "hang"},
+	}}
+	opt := Options{Endpoints: []string{serve(t, f)}, Cache: cache, Silence: 50 * time.Millisecond}
+	follow(t, opt, func(v View) bool { return v.Rev == 9 })
+	restart := func() View {
+		r, err := NewReader(Options{Endpoints: []string{"127.0.0.1:1"}, Cache: cache})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r.View()
+	}
+	if v := restart(); v.Rev != 9 || uids(v) != had[9] || !v.Heard.IsZero() || v.Wholes != 0 {
+		t.Errorf("after a restart: %+v", v)
+	}
+	files, err := filepath.Glob(filepath.Join(cache, "registry-list-*"))
+	if err != nil || len(files) == 0 {
+		t.Fatal(files, err)
+	}
+	for _, path := range files {
+		whole, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range whole {
+			for _, spoilt := range [][]byte{whole[:i], slices.Concat(whole[:i], []byte{whole[i] ^ 1}, whole[i+1:])} {
+				if err := os.WriteFile(path, spoilt, 0o600); err != nil {
+					t.Fatal(err)
+				}
+				if v := restart(); uids(v) != had[v.Rev] {
+					t.Fatalf("%s spoilt at byte %d: revision %d of %q", path, i, v.Rev, uids(v))
+				}
+			}
+		}
+		if err := os.WriteFile(path, whole, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// A folder that cannot be had, or is another's, costs the cache and nothing else, and is said.
+func TestCacheCannotBe(t *testing.T) {
+	dir := t.TempDir()
+	file := filepath.Join(dir, "file")
+	if err := os.WriteFile(file, []byte("of an older version"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	taken := filepath.Join(dir, "taken")
+	other, err := durable.Open(durable.Options{Dir: taken, Kind: "registry-list"})
 	if err != nil {
 		t.Fatal(err)
 	}
-	for i := range whole {
-		for _, spoilt := range [][]byte{whole[:i], append(append([]byte{}, whole[:i]...), append([]byte{whole[i] ^ 1}, whole[i+1:]...)...)} {
-			if err := os.WriteFile(cache, spoilt, 0o600); err != nil {
-				t.Fatal(err)
+	defer other.Close()
+	for cache, want := range map[string]string{file: "not a directory", taken: "another process"} {
+		var mu sync.Mutex
+		said := ""
+		f := &fake{scripts: [][]string{{list(7, true, "a") + "\n", list(8, false, "b") + "\n", "hang"}}}
+		follow(t, Options{Endpoints: []string{serve(t, f)}, Cache: cache, Log: func(format string, args ...any) {
+			mu.Lock()
+			defer mu.Unlock()
+			said += fmt.Sprintf(format, args...)
+		}}, func(v View) bool { return v.Rev == 8 })
+		if !strings.Contains(said, want) {
+			t.Errorf("%s: said %q", cache, said)
+		}
+	}
+}
+
+// What keeping one change costs, by the list's length.
+func BenchmarkCacheChange(b *testing.B) {
+	for _, n := range []int{10, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r, err := NewReader(Options{Endpoints: []string{"127.0.0.1:1"}, Cache: b.TempDir()})
+			if err != nil {
+				b.Fatal(err)
 			}
-			if r, err := NewReader(Options{Endpoints: []string{"127.0.0.1:1"}, Cache: cache}); err != nil || r.View().Rev != 0 {
-				t.Fatalf("a cache spoilt at byte %d was taken: %+v, %v", i, r.View(), err)
+			all := message{Rev: 1, All: true}
+			for i := range n {
+				all.Targets = append(all.Targets, &state.Entry{UID: fmt.Sprintf("s-%08x", i*7919), Endpoint: "10.1.0.18:3000", Zone: "a", State: state.Serving, Mod: 1})
 			}
-		}
+			r.take(all)
+			if err := r.cache.write(r); err != nil {
+				b.Fatal(err)
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				e := *all.Targets[i%n]
+				e.Mod = int64(i) + 2
+				r.take(message{Rev: e.Mod, Targets: []*state.Entry{&e}})
+				if err := r.cache.write(r); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
 	}
 }
 
