--- a/internal/registry/bench/lengths.go
+++ b/internal/registry/bench/lengths.go
@@ -42,7 +42,7 @@
 	p.Title.Text = fmt.Sprintf("One change, %d watches", l[0].Watches)
 	p.X.Label.Text, p.Y.Label.Text = "instances in the list", "ms"
 	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
-	p.Y.Min, p.Legend.Top = 0, true
+	p.Y.Min, p.Legend.Top, p.Legend.Left = 0, true, true
 	var lines []any
 	for _, k := range []struct {
 		name string
@@ -58,6 +58,7 @@
 	if err := plotutil.AddLinePoints(p, lines...); err != nil {
 		return err
 	}
+	p.Y.Max *= 1.5 // room for the legend
 	c := vgsvg.New(14*vg.Centimeter, 8*vg.Centimeter)
 	p.Draw(draw.New(c))
 	_, err := c.WriteTo(w)
