The cost test samples for 3 s, as half a second often met nothing of the module

Cause: 50 samples of the processor, of which the module has 3 on average and now and then none. 300 samples now.

--- a/internal/lab/cost/cost_test.go
+++ b/internal/lab/cost/cost_test.go
@@ -46,7 +46,7 @@
 
 // A measurement of real processes: every figure is there, and the parts make up the whole.
 func TestMeasure(t *testing.T) {
-	r, err := Measure(t.Context(), Options{Node: command(t, "node"), Relay: command(t, "relay"), For: 500 * time.Millisecond})
+	r, err := Measure(t.Context(), Options{Node: command(t, "node"), Relay: command(t, "relay"), For: 3 * time.Second}) // 100 samples a second, one in twenty of the module
 	if err != nil {
 		t.Fatal(err)
 	}
