state repair takes the folder's lock before it looks

Need, from reading the change again: it listed the files first, so a process that saved meanwhile could have removed one before it was moved. Measured: TestState passes, with the folder in use and free.

--- a/cmd/umberbank/state.go
+++ b/cmd/umberbank/state.go
@@ -139,15 +139,15 @@
 }
 
 func (c *stateRepairCmd) Run(a *app) error {
-	files, err := stateFiles(c.Dir)
+	lock, err := durable.LockDir(c.Dir) // before the look: a process that runs changes what is there
 	if err != nil {
 		return err
 	}
-	lock, err := durable.LockDir(c.Dir)
+	defer lock.Close()
+	files, err := stateFiles(c.Dir)
 	if err != nil {
 		return err
 	}
-	defer lock.Close()
 	aside := filepath.Join(c.Dir, "damaged")
 	moved, newest := 0, stateFile{}
 	for _, path := range files {
