--- a/cmd/cranegrade/main_test.go
+++ b/cmd/cranegrade/main_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -74,53 +73,12 @@
 	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd := command(t, config)
-	stderr, err := cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer cmd.Process.Kill()
-	var listen string
-	lines := bufio.NewScanner(stderr)
-	for listen == "" {
-		if !lines.Scan() {
-			t.Fatal("the program ended before it listened")
-		}
-		_, listen, _ = strings.Cut(lines.Text(), "listening on ")
-	}
-	ended, logged := make(chan error, 1), make(chan string, 10)
-	go func() {
-		for lines.Scan() {
-			if strings.Contains(lines.Text(), "reload") {
-				logged <- lines.Text()
-			}
-		}
-		ended <- cmd.Wait()
-	}()
-
-	get := func(path string) (string, error) {
-		r, err := http.NewRequest("GET", "http://"+listen+path, nil)
-		if err != nil {
-			return "", err
-		}
-		r.Header.Set("X-Correlation-Id", "c-1")
-		r.Header.Set("X-Time-Left", "30000m")
-		resp, err := (&http.Client{Timeout: limit}).Do(r)
-		if err != nil {
-			return "", err
-		}
-		defer resp.Body.Close()
-		b, err := io.ReadAll(resp.Body)
-		return fmt.Sprintf("%d %s", resp.StatusCode, b), err
-	}
-	if got, err := get("/health/ready"); err != nil || got != "200 " {
-		t.Errorf("ready: %q, %v", got, err)
+	p := begin(t, config)
+	if got := p.get("/health/ready"); got != "200 " {
+		t.Errorf("ready: %q", got)
 	}
-	if got, err := get("/read/1"); err != nil || got != "200 c-1" {
-		t.Errorf("request: %q, %v", got, err)
+	if got := p.get("/read/1"); got != "200 c-1" {
+		t.Errorf("request: %q", got)
 	}
 	// A hangup moves the node to another discovery; it serves on. A file that makes no sense changes nothing.
 	for _, next := range []struct{ text, logged string }{
@@ -130,25 +88,19 @@
 		if err := os.WriteFile(config, []byte(next.text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		if err := p.cmd.Process.Signal(syscall.SIGHUP); err != nil {
 			t.Fatal(err)
 		}
-		for line := ""; !strings.Contains(line, next.logged); {
-			select {
-			case line = <-logged:
-			case err := <-ended:
-				t.Fatalf("ended on a hangup: %v", err)
-			case <-time.After(limit):
-				t.Fatalf("no line %q", next.logged)
-			}
-		}
+		eventually(t, fmt.Sprintf("%q in the log", next.logged), func() bool { return strings.Contains(p.log(), next.logged) })
 	}
-	if got, err := get("/read/1"); err != nil || got != "200 c-1" {
-		t.Errorf("after the reload: %q, %v", got, err)
+	if got := p.get("/read/1"); got != "200 c-1" {
+		t.Errorf("after the reload: %q", got)
 	}
-	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
+	ended := make(chan error, 1)
+	go func() { ended <- p.cmd.Wait() }()
 	select {
 	case err := <-ended:
 		if err != nil {
