Discovery: a silent watch is opened anew within 6 s, lists may be indented, a start waits for news

A watch was given up after 4.5 s and its successor had another 4.5 s, so two silent ones in a row meant 9 s; where lists are asked for, the module's rest came on top. A list over several lines was malformed for good. A new process served by the list of its configuration until the watch answered. What came after the last answer before SIGKILL was taken and lost.

Change: 2.5 s of silence (a heartbeat and some), then tries of 0.25, 0.5, 1 and 2.5 s, by the host in both modes; a message may have many lines but must end; a start waits up to 0.25 s for its agent; after the last call before SIGKILL requests are refused at once.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"hollyspur"
@@ -70,13 +71,18 @@
 		Size: t.Size, Boot: time.Duration(t.BootMS * float64(time.Millisecond))}
 }
 
-// silence is how long a watch may say nothing: two heartbeats, one every 2 s, and a little. A machine
-// that was cut off leaves the connection open and silent, and what discovery has to tell counts as
-// told after 6 s; the rest of these is for asking anew.
-const silence = 4500 * time.Millisecond
+// silence is how long an open watch may say nothing: one heartbeat, every 2 s, and some for a busy core. A
+// watch that has fallen silent is broken, and what it misses counts as told after 6 s; the rest of these is
+// for asking anew, several times if need be.
+const silence = 2500 * time.Millisecond
 
-// lineStall is how long a line that has begun may stand still: discovery writes a line in one go, and one
-// that stops short would hide news until the watch counts as silent.
+// firstByte is how long a new watch may take to answer, by how many before it never did. The agent answers at
+// once, so the first are given up soon. The last is as patient as an open watch, for an agent whose answer
+// begins with its first heartbeat; then it starts over.
+var firstByte = []time.Duration{250 * time.Millisecond, 500 * time.Millisecond, time.Second, silence}
+
+// lineStall is how long a message that has begun may stand still: discovery writes one in one go. One that goes on
+// and on is given up after the silence, as no part of it is news.
 const lineStall = time.Second
 
 const maxListBytes = 16 << 20
@@ -87,6 +93,7 @@
 	client  *http.Client
 	silence time.Duration
 	stall   time.Duration
+	unheard atomic.Int32 // watches in a row that never answered
 }
 
 func newDiscovery(addr string) *discovery {
@@ -99,12 +106,12 @@
 	errCutShort = errors.New("a line was cut short")
 )
 
-// watch follows the list from revision since on and calls news with each message in order. It
-// returns the reason for the watch's end, which is never nil.
-func (d *discovery) watch(ctx context.Context, since int64, news func(List)) error {
+// watch follows the list from revision since on and calls opened once discovery has begun to answer, then news
+// with each message in order. It returns the reason for the watch's end, which is never nil.
+func (d *discovery) watch(ctx context.Context, since int64, opened func(), news func(List)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	quiet := time.AfterFunc(d.silence, func() { cancel(errSilent) })
+	quiet := time.AfterFunc(firstByte[int(d.unheard.Load())%len(firstByte)], func() { cancel(errSilent) })
 	defer quiet.Stop()
 
 	url := "http://" + d.addr + "/registry/instances?follow=1&since=" + strconv.FormatInt(since, 10)
@@ -114,21 +121,26 @@
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
-		return causeOr(ctx, err)
+		if err = causeOr(ctx, err); err == errSilent {
+			d.unheard.Add(1)
+		}
+		return err
 	}
+	d.unheard.Store(0)
+	quiet.Reset(d.silence)
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answers %s", resp.Status)
 	}
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, maxListBytes)
+	opened()
 	cutShort := time.AfterFunc(time.Hour, func() { cancel(errCutShort) })
 	defer cutShort.Stop()
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, maxListBytes)
 	lines.Split(func(data []byte, atEOF bool) (int, []byte, error) {
 		end := bytes.IndexByte(data, '\n')
 		switch {
 		case end >= 0:
-			cutShort.Stop()
 			return end + 1, data[:end], nil
 		case atEOF && len(data) > 0:
 			return 0, nil, errCutShort
@@ -137,24 +149,52 @@
 		}
 		return 0, nil, nil
 	})
+	var m assembly
 	for lines.Scan() {
+		l, whole, err := m.add(bytes.TrimSpace(lines.Bytes()))
+		switch {
+		case err != nil:
+			return fmt.Errorf("malformed message: %w", err)
+		case whole:
+			news(l)
+		case len(m) > 0:
+			cutShort.Reset(d.stall)
+			continue
+		} // else it was a heartbeat
 		quiet.Reset(d.silence)
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) == 0 {
-			continue // a heartbeat
-		}
-		l, err := parseList(line)
-		if err != nil {
-			return fmt.Errorf("malformed line: %w", err)
-		}
-		news(l)
+		cutShort.Stop()
 	}
 	if err := lines.Err(); err != nil {
 		return causeOr(ctx, err)
 	}
+	if len(m) > 0 {
+		return errCutShort
+	}
 	return errors.New("discovery ended the watch")
 }
 
+// assembly is as much of a message as has come, line by line: discovery writes it in one line or, indented, in many.
+type assembly []byte
+
+// add takes one more line, and with the last gives the whole.
+func (m *assembly) add(line []byte) (l List, whole bool, err error) {
+	if len(line) == 0 {
+		return List{}, false, nil
+	}
+	first := len(*m) == 0
+	*m = append(append(*m, line...), '\n')
+	if !first && line[len(line)-1] != '}' && len(*m) <= maxListBytes {
+		return List{}, false, nil // it cannot be the last
+	}
+	l, err = parseList(*m)
+	unfinished := new(json.SyntaxError)
+	if errors.As(err, &unfinished) && unfinished.Offset == int64(len(*m)) && len(*m) <= maxListBytes {
+		return List{}, false, nil
+	}
+	*m = nil
+	return l, err == nil, err
+}
+
 // causeOr is why ctx ended, if it has, else err.
 func causeOr(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -1,11 +1,14 @@
 package node
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,7 +20,14 @@
 func registry(t *testing.T) (addr string, lines, asked chan string) {
 	t.Helper()
 	lines, asked = make(chan string), make(chan string, 100)
+	newest := make(chan context.CancelFunc, 1) // ends the watch before, which may not know yet that it is over
+	newest <- func() {}
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		(<-newest)()
+		ctx, cancel := context.WithCancel(r.Context())
+		ended := make(chan struct{})
+		defer close(ended)
+		newest <- func() { cancel(); <-ended }
 		asked <- r.URL.Path + "?" + r.URL.RawQuery
 		w.WriteHeader(http.StatusOK)
 		w.(http.Flusher).Flush()
@@ -29,7 +39,7 @@
 				}
 				fmt.Fprintln(w, l)
 				w.(http.Flusher).Flush()
-			case <-r.Context().Done():
+			case <-ctx.Done():
 				return
 			}
 		}
@@ -110,6 +120,151 @@
 	list(false, false, "a")
 }
 
+// However a message is laid out, it is news once it is whole, with its end of line, and not before.
+func TestAssembly(t *testing.T) {
+	t.Parallel()
+	plain := message(9, true, entry("a", "SERVING"), entry("b", "DRAINING"))
+	var indented bytes.Buffer
+	if err := json.Indent(&indented, []byte(plain), "", "  "); err != nil {
+		t.Fatal(err)
+	}
+	for name, text := range map[string]string{
+		"one line": plain, "indented": indented.String(), "with empty lines": strings.ReplaceAll(indented.String(), "\n", "\n\n"),
+		"a bracket a line": strings.NewReplacer("{", "{\n", "}", "\n}").Replace(plain),
+	} {
+		var m assembly
+		lines := strings.Split(text, "\n")
+		for i, line := range lines {
+			l, whole, err := m.add(bytes.TrimSpace([]byte(line)))
+			if last := i == len(lines)-1; err != nil || whole != last || last && (l.Rev != 9 || len(l.Targets) != 2) {
+				t.Fatalf("%s, line %d %q: %+v, whole %v, %v", name, i, line, l, whole, err)
+			}
+		}
+		if len(m) > 0 {
+			t.Errorf("%s: %q is left over", name, m)
+		}
+	}
+	for _, bad := range []string{"no list", `{"rev":1}x`, `{"rev":,`, `{"rev":1,"targets":[]]`} {
+		var m assembly
+		if _, _, err := m.add([]byte(bad)); err == nil {
+			t.Errorf("%s was taken for the beginning of a message", bad)
+		}
+	}
+}
+
+// What an agent may do in place of telling its news, several times in a row, and the time by which the node must
+// know all the same: news that was missed counts as told 6 s after its watch fell silent, and 4 s after SIGHUP or at
+// once where the process is new.
+func TestSilentAgents(t *testing.T) {
+	t.Parallel()
+	says := func(text string) func(http.ResponseWriter, *http.Request) {
+		return func(w http.ResponseWriter, r *http.Request) {
+			fmt.Fprint(w, text)
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}
+	}
+	whole := message(9, true, entry("a", "SERVING"))
+	silent := func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	for name, c := range map[string]struct {
+		ask  bool
+		bad  []func(http.ResponseWriter, *http.Request)
+		most time.Duration
+	}{
+		"a watch falls silent":         {bad: []func(http.ResponseWriter, *http.Request){says("\n")}, most: 6 * time.Second},
+		"it is asked for":              {ask: true, bad: []func(http.ResponseWriter, *http.Request){says("\n")}, most: 6 * time.Second},
+		"and the next three never say": {bad: []func(http.ResponseWriter, *http.Request){says("\n"), silent, silent, silent}, most: 6 * time.Second},
+		"where it is asked for":        {ask: true, bad: []func(http.ResponseWriter, *http.Request){says("\n"), silent, silent, silent}, most: 6 * time.Second},
+		"two fall silent":              {bad: []func(http.ResponseWriter, *http.Request){says("\n"), says("\n")}, most: 6 * time.Second},
+		"the first of a new process":   {bad: []func(http.ResponseWriter, *http.Request){silent}, most: 500 * time.Millisecond},
+		"a line that never ends": {bad: []func(http.ResponseWriter, *http.Request){func(w http.ResponseWriter, r *http.Request) {
+			fmt.Fprint(w, `{"rev":9,"all":true,"targets":[`)
+			for r.Context().Err() == nil {
+				fmt.Fprint(w, " ")
+				w.(http.Flusher).Flush()
+				time.Sleep(10 * time.Millisecond)
+			}
+		}}, most: 6 * time.Second},
+		"an indented list that stops": {bad: []func(http.ResponseWriter, *http.Request){says("{\n\n")}, most: 6 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var asked atomic.Int32
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if i := int(asked.Add(1)) - 1; i < len(c.bad) {
+					c.bad[i](w, r)
+					return
+				}
+				says(whole+"\n")(w, r)
+			}))
+			t.Cleanup(s.CloseClientConnections)
+			cfg := testConfig(strings.TrimPrefix(s.URL, "http://"))
+			cfg.Settings.AskDiscovery = c.ask
+			news := make(chan time.Time, 10)
+			started := time.Now()
+			startNode(t, cfg, moduleFunc(func(e hollyspur.Event) []hollyspur.Action {
+				if l, is := e.(hollyspur.ServerList); is && !l.Cached {
+					news <- time.Now()
+				} else if is && c.ask {
+					return []hollyspur.Action{hollyspur.Subscribe{}}
+				}
+				return nil
+			}))
+			took := wait(t, news).Sub(started)
+			// The waits add up by design; how late this machine runs them is not the node's doing.
+			t.Logf("news after %v", took)
+			if slack := 2 * time.Second; took > c.most+slack || int(asked.Load()) != len(c.bad)+1 {
+				t.Errorf("news after %v and %d watches, due after %v", took, asked.Load(), c.most)
+			}
+		})
+	}
+}
+
+// A node that starts serves by what its agent holds, not by the list it was given, which may be old; an agent that
+// says nothing keeps it for a moment only.
+func TestFirstNews(t *testing.T) {
+	t.Parallel()
+	for name, news := range map[string]string{"news": message(9, true, entry("a", "SERVING")), "none": "", "silence": "silence"} {
+		told, serve := make(chan struct{}), make(chan struct{})
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if news == "silence" {
+				<-r.Context().Done()
+				return
+			}
+			<-serve
+			fmt.Fprintln(w, news)
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}))
+		t.Cleanup(s.CloseClientConnections)
+		cfg := testConfig(strings.TrimPrefix(s.URL, "http://"), serving("old", "127.0.0.1:1"))
+		cfg.Settings.AskDiscovery = false
+		started := time.Now()
+		n := startNode(t, cfg, moduleFunc(func(e hollyspur.Event) []hollyspur.Action {
+			if l, is := e.(hollyspur.ServerList); is && !l.Cached {
+				close(told)
+			}
+			return nil
+		}))
+		if serves := n.serving.Load(); serves && time.Since(started) < firstNews {
+			t.Errorf("%s: it serves before its agent has answered", name)
+		}
+		close(serve)
+		for end := time.Now().Add(limit); !n.serving.Load(); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%s: it never serves", name)
+			}
+		}
+		if name == "news" {
+			select {
+			case <-told:
+			default:
+				t.Error("it serves before it knows the news")
+			}
+		}
+	}
+}
+
 // A watch on a machine that was cut off stays open and silent; heartbeats keep one alive.
 func TestWatchSilence(t *testing.T) {
 	t.Parallel()
@@ -118,7 +273,7 @@
 	d.silence = 200 * time.Millisecond
 	ended := make(chan error, 1)
 	got := make(chan List, 1)
-	go func() { ended <- d.watch(context.Background(), 0, func(l List) { got <- l }) }()
+	go func() { ended <- d.watch(context.Background(), 0, func() {}, func(l List) { got <- l }) }()
 	lines <- message(1, true)
 	wait(t, got)
 	if err := wait(t, ended); err != errSilent {
@@ -133,7 +288,7 @@
 	d := newDiscovery(addr)
 	d.silence = time.Second
 	ended := make(chan error, 1)
-	go func() { ended <- d.watch(context.Background(), 0, nil) }()
+	go func() { ended <- d.watch(context.Background(), 0, func() {}, nil) }()
 	longest := time.Duration(0) // between two beats; this machine may stall
 	for start, last := time.Now(), time.Now(); time.Since(start) < 2*d.silence; {
 		select {
@@ -158,7 +313,7 @@
 	}))
 	t.Cleanup(s.Close)
 	d := newDiscovery(strings.TrimPrefix(s.URL, "http://"))
-	if err := d.watch(context.Background(), 0, nil); err == nil || !strings.Contains(err.Error(), "503") {
+	if err := d.watch(context.Background(), 0, func() {}, nil); err == nil || !strings.Contains(err.Error(), "503") {
 		t.Errorf("got %v", err)
 	}
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -94,6 +94,9 @@
 	watching  bool          // a watch was opened; a broken one is opened again
 	elsewhere bool          // the list comes from a registry, and discovery is not asked
 	rest      time.Duration // before the last watch that was opened again
+	heard     bool          // what discovery's agent holds, since the start
+	told      chan struct{} // closed when heard is true
+	ending    bool          // the process is about to be killed
 }
 
 func newLoop(cfg Config, m module, up *upstream, disc *discovery, counts *metrics) *loop {
@@ -101,7 +104,7 @@
 		maxAttempts: cfg.Settings.MaxAttempts, pushed: !cfg.Settings.AskDiscovery,
 		events: make(chan func(), 1024), done: make(chan struct{}),
 		requests: map[string]*request{}, servers: map[string]*server{},
-		stopWatch: func() {}}
+		stopWatch: func() {}, told: make(chan struct{})}
 	l.takeClasses(cfg.Settings)
 	return l
 }
@@ -205,6 +208,10 @@
 		r.answer <- answer{rejected: err}
 		return
 	}
+	if l.ending {
+		r.answer <- answer{status: http.StatusServiceUnavailable}
+		return
+	}
 	r.maxAttempts = l.maxAttempts
 	l.nextID++
 	r.id = strconv.FormatUint(l.nextID, 10)
@@ -239,8 +246,9 @@
 	l.handle(hollyspur.ClientGone{ID: r.id})
 }
 
-// abandonAll fails whatever is unanswered.
+// abandonAll fails whatever is unanswered, and refuses whatever comes from now on.
 func (l *loop) abandonAll() {
+	l.ending = true
 	for _, r := range l.requests {
 		if !r.finished.Load() {
 			l.abandon(r)
@@ -381,6 +389,9 @@
 // takeList applies news of the servers: first to what the I/O may use, then to the module.
 func (l *loop) takeList(list List, cached bool) {
 	l.rev = list.Rev
+	if !cached {
+		l.hear()
+	}
 	listed := map[string]bool{}
 	e := hollyspur.ServerList{Full: list.All, Cached: cached}
 	for _, t := range list.Targets {
@@ -413,6 +424,17 @@
 	l.handle(e)
 }
 
+// newsAfter is how soon after a watch begins to answer its first news is here, if the agent has any.
+const newsAfter = 20 * time.Millisecond
+
+// hear notes that what discovery's agent holds is known.
+func (l *loop) hear() {
+	if !l.heard {
+		l.heard = true
+		close(l.told)
+	}
+}
+
 func (l *loop) removeServer(id string) {
 	if s := l.servers[id]; s != nil {
 		s.usable.Store(false)
@@ -456,7 +478,7 @@
 	l.stopWatch, l.watching = cancel, true
 	since, disc, begun := l.rev, l.discovery, l.clock.now()
 	go func() {
-		err := disc.watch(ctx, since, func(list List) {
+		err := disc.watch(ctx, since, func() { l.after(newsAfter, l.hear) }, func(list List) {
 			l.post(func() {
 				if ctx.Err() == nil { // else a newer watch tells the same
 					l.takeList(list, false)
@@ -466,8 +488,11 @@
 		l.post(func() {
 			if ctx.Err() == nil {
 				log.Printf("watch: %v", err)
-				l.handle(hollyspur.ListFailed{})
-				if l.pushed {
+				// When to ask is the module's to say where lists are asked for; a watch fallen silent is broken
+				// and is opened anew in any case.
+				if !l.pushed && err != errSilent {
+					l.handle(hollyspur.ListFailed{})
+				} else {
 					l.after(l.restAfter(l.clock.now()-begun), func() {
 						if ctx.Err() == nil { // else another was opened meanwhile
 							l.subscribe()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"log"
 	"net"
 	"os"
 	"runtime/debug"
@@ -139,6 +140,20 @@
 	lastCall    = 250 * time.Millisecond
 )
 
+// firstNews is how long a node that starts waits for what its agent holds before it serves by the list in its
+// configuration. The agent answers at once if it can, and what it holds counts as told from the first moment on.
+const firstNews = 250 * time.Millisecond
+
+// awaitNews waits until what the agent holds is known.
+func (n *Node) awaitNews(ctx context.Context) {
+	select {
+	case <-n.loop.told:
+	case <-time.After(firstNews):
+		log.Printf("no news of the servers %v after the start; serving by the list in the configuration", firstNews)
+	case <-ctx.Done():
+	}
+}
+
 // Run serves until ctx ends, and then until all that was taken is answered. A long answer or body that is
 // under way goes on until its end, or until the process is killed: ending before would break it off.
 func (n *Node) Run(ctx context.Context) error {
@@ -163,7 +178,6 @@
 		if n.loop.pushed {
 			n.loop.subscribe()
 		}
-		n.serving.Store(true)
 	})
 	if n.registry != nil {
 		go n.readRegistry(running)
@@ -173,6 +187,10 @@
 		defer n.turn.close()
 		go n.awaitTurn(running)
 	}
+	if !n.cfg.Settings.AskDiscovery && n.registry == nil {
+		n.awaitNews(ctx)
+	}
+	n.serving.Store(true)
 	srv := n.front.server()
 	defer srv.Close()
 	served := make(chan error, 1)
