--- a/internal/lab/fault/fault.go
+++ b/internal/lab/fault/fault.go
@@ -294,6 +294,8 @@
 				d.Hide(n, when(on, func(en model.Entry) bool { return gone[en.Server] }))
 			case "reorder":
 				d.Rewind(n, on)
+			case "mute":
+				d.Mute(n, on)
 			}
 		}
 	})
--- a/internal/lab/fleet/discovery.go
+++ b/internal/lab/fleet/discovery.go
@@ -18,6 +18,8 @@
 
 	mu      sync.Mutex
 	changed chan struct{} // closed at the next change
+	mutes   int           // how often the watches that were open fell silent
+	muted   bool          // and what is opened now is silent too
 	rev     int64
 	whole   []byte
 	lines   []line // since the last whole list
@@ -87,6 +89,26 @@
 	a.changed = make(chan struct{})
 }
 
+// Mute lets a node's watches fall silent.
+func (f *Fleet) Mute(node int, on bool) {
+	a := f.agents[node]
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.muted = on
+	if on {
+		a.mutes++
+		close(a.changed) // every watch sees that it is one of those
+		a.changed = make(chan struct{})
+	}
+}
+
+// silence tells which watches are silent: all that were open before so many mutes, and at all every one that asks now.
+func (a *agent) silence() (mutes int, muted bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.mutes, a.muted
+}
+
 // keptLines bounds the changes that an agent keeps; a watcher that is further behind takes the whole list.
 const keptLines = 1000
 
@@ -98,6 +120,11 @@
 		http.NotFound(w, r)
 		return
 	}
+	opened, muted := a.silence()
+	if muted {
+		<-r.Context().Done()
+		return
+	}
 	if r.URL.Query().Get("follow") == "" {
 		a.mu.Lock()
 		text := a.whole
@@ -113,6 +140,10 @@
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
 	for flush := http.NewResponseController(w); ; {
+		if mutes, _ := a.silence(); mutes != opened {
+			<-r.Context().Done()
+			return
+		}
 		news, rev, changed := a.after(since)
 		for _, text := range news {
 			if _, err := w.Write(append(text[:len(text):len(text)], '\n')); err != nil {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -260,6 +260,7 @@
 		"beside":    {rule: oracle.Copies, set: "limits.second_copies=false"},
 		"promise":   {rule: oracle.Promised},
 		"deaf":      {rule: oracle.Drained, fault: drain},
+		"patient":   {rule: oracle.Drained, fault: "\n[[fault]]\nkind = \"mute\"\nat = \"200ms\"\n" + drain, set: "discovery.missed=500ms"},
 		"crowd":     {rule: oracle.Cold, fault: fresh, set: "load.rate=1000"},
 		"invent":    {rule: oracle.Phantom},
 		"alter":     {rule: oracle.Phantom},
--- a/internal/lab/model/directory.go
+++ b/internal/lab/model/directory.go
@@ -36,6 +36,8 @@
 	mask  func(Entry) bool        // what a fault hides; nil: nothing
 	back  int64                   // a fault shows an older revision, this one; 0: no
 	due   map[time.Duration]int64 // revisions to come, by when
+	mutes int                     // how often its watches have fallen silent
+	muted time.Duration           // when they last did
 	said  int64                   // added to revisions after a whole list that a fault made
 }
 
@@ -95,13 +97,34 @@
 			continue
 		}
 		l = append(l, e)
-		d.w.Observer.Told(n, e.Server, e.State)
+		d.told(n, e)
 	}
 	if len(l) > 0 && a.back == 0 {
 		d.w.Backend.Tell(n, List{Rev: rev + a.said, Entries: l})
 	}
 }
 
+// told tells what an agent holds from now on. What a watch misses that has fallen silent counts as told when the time
+// for asking anew is over, and not before: no node can know of it sooner than its silence shows.
+func (d *Directory) told(n int, e Entry) {
+	a := &d.agents[n]
+	tell := func() { d.w.Observer.Told(n, e.Server, e.State) }
+	if due := a.muted + d.w.Site.Discovery.Missed.D(); a.mutes > 0 && d.w.Loop.Now() < due {
+		d.w.Loop.At(due, tell)
+		return
+	}
+	tell()
+}
+
+// Mute lets a node's watches fall silent, and for as long as it is on those that the node opens anew.
+func (d *Directory) Mute(n int, on bool) {
+	if on {
+		d.agents[n].mutes++
+		d.agents[n].muted = d.w.Loop.Now()
+	}
+	d.w.Backend.Mute(n, on)
+}
+
 // List is the whole list as a node's agent holds it.
 func (d *Directory) List(n int) List {
 	a := &d.agents[n]
--- a/internal/lab/model/model.go
+++ b/internal/lab/model/model.go
@@ -97,6 +97,9 @@
 	Send(c *Call, done func(Answer)) (leave func())
 	// Tell brings a node news from discovery.
 	Tell(node int, l List)
+	// Mute lets the watches that a node has open say nothing any more, for good, nor, until it is off, what the
+	// node opens anew.
+	Mute(node int, on bool)
 	// Process acts on a node's process.
 	Process(node int, act ProcessAct)
 	// Links puts an effect on the links from nodes to servers, or takes it off again.
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -126,6 +126,7 @@
 	Period Duration   `toml:"period"` // agents pass on what they have heard so often
 	Notice Duration   `toml:"notice"` // until the death of a server is known
 	Front  Duration   `toml:"front_notice"`
+	Missed Duration   `toml:"missed"` // after a watch fell silent, what it misses counts as told
 }
 
 // Registry is discovery by the project's own registry, on real processes. With no replicas it is as Discovery says.
--- a/internal/lab/scenario/site.go
+++ b/internal/lab/scenario/site.go
@@ -80,6 +80,16 @@
 	return site
 }
 
+// MeanWork is the mean work of a request at a tier, on a yardstick core.
+func (s *Site) MeanWork(tier int) time.Duration {
+	var sum, shares float64
+	for i, c := range s.Classes {
+		sum += c.Share * float64(s.Work[i])
+		shares += c.Share
+	}
+	return time.Duration(sum / shares * s.Tiers[tier].Work)
+}
+
 // spread gives each server of a tier its kind, by the kinds' shares and evenly along it.
 func (t *Tier) spread() []*Kind {
 	sum := 0.0
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -61,6 +61,8 @@
 	nextID  uint64
 	calls   map[string]*call
 	idle    map[int][]time.Duration // connections to each server, by when they were last used
+	muted   bool                    // discovery's agent says nothing
+	deaf    bool                    // its watch has fallen silent, and it has not asked anew
 	barred  map[int]bool            // servers that are not to be sent to by the list
 }
 
@@ -198,11 +200,37 @@
 // Tell brings a node news.
 func (f *Fleet) Tell(i int, l model.List) {
 	n := f.nodes[i]
-	if n.up {
+	if n.up && !n.deaf {
 		n.run(func() { n.takeList(l, false) })
 	}
 }
 
+// A node's sockets give a watch up when it misses a heartbeat by far, and then ask again and again.
+const (
+	silence  = 2500 * time.Millisecond
+	askAgain = 500 * time.Millisecond
+)
+
+// Mute makes a node's watch fall silent.
+func (f *Fleet) Mute(i int, on bool) {
+	n := f.nodes[i]
+	n.muted = on
+	if on && !n.deaf {
+		n.deaf = true
+		f.w.Loop.After(silence, n.askAnew)
+	}
+}
+
+// askAnew opens a watch in place of a silent one.
+func (n *node) askAnew() {
+	if n.muted {
+		n.f.w.Loop.After(askAgain, n.askAnew)
+		return
+	}
+	n.deaf = false
+	n.f.Tell(n.index, n.f.w.Directory.List(n.index))
+}
+
 // Links puts effects on links.
 func (f *Fleet) Links(nodes, servers []int, e *model.Effect, on bool) {
 	for _, n := range nodes {
@@ -315,7 +343,7 @@
 		n.f.err = err
 		return false
 	}
-	n.module, n.up, n.paused, n.held = m, true, false, nil
+	n.module, n.up, n.paused, n.held, n.deaf = m, true, false, nil, n.muted
 	n.life++
 	if w.Site.State.Keep {
 		if n.keptAt > 0 {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -706,6 +706,17 @@
 	}
 }
 
+// What comes when the process is about to be killed is refused at once: no answer would come in time.
+func TestLastCall(t *testing.T) {
+	t.Parallel()
+	addr, got := stub(t, ok, false)
+	n := startNode(t, testConfig("127.0.0.1:1", serving("s", addr)), nil)
+	n.loop.post(n.loop.abandonAll)
+	if resp, _ := do(t, newRequest(t, n, "POST", "/order/1", "")); resp.StatusCode != 503 || len(got) > 0 {
+		t.Errorf("answer %d, %d sent on", resp.StatusCode, len(got))
+	}
+}
+
 // More callers than descriptors wait their turn; none is lost and the node stays up.
 func TestCallersOverTheBudget(t *testing.T) {
 	t.Parallel()
