--- /dev/null
+++ b/internal/agree/budget/budget.go
@@ -0,0 +1,372 @@
+// Package budget decides what may be out of service at once. It is pure: facts about units and permits go in, and the
+// same facts in the same order give the same decisions everywhere.
+//
+// What holds: at no time do permits and what does not serve without one exceed a limit by a permit's doing. A
+// permit counts as its unit's whole capacity from the moment it is given until its unit has been seen out and then
+// back and whole, or was declared gone; what faults have taken counts before any permit, and while they alone take
+// more than a limit allows no permit is given.
+package budget
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+)
+
+// Unit is one thing that serves: a server, or a node's process.
+type Unit struct {
+	ID       string
+	Start    int64 // which start of it; a later one has a higher number
+	Tier     string
+	Zone     string
+	Region   string
+	Rack     int
+	Capacity float64 // above 0
+	Out      float64 // the share of its capacity that does not serve, from 0 to 1
+	Why      string  // it is out
+}
+
+// Limit is how much of a tier's capacity may be out at once, as shares from 0 to 1: of the whole tier, and within each
+// of its zones, regions and racks. 1 is no limit, nil means 1.
+type Limit struct {
+	Tier   string   `json:"tier" toml:"tier"`
+	Whole  *float64 `json:"whole,omitempty" toml:"whole"`
+	Zone   *float64 `json:"zone,omitempty" toml:"zone"`
+	Region *float64 `json:"region,omitempty" toml:"region"`
+	Rack   *float64 `json:"rack,omitempty" toml:"rack"`
+}
+
+// Limits are all limits of a site, and how its units warm up. A tier without a limit gets no permits: what nobody has
+// thought about must not be taken out by a machine.
+type Limits struct {
+	Tiers    []Limit `json:"tiers" toml:"tier"`
+	ColdFrom float64 `json:"cold_from" toml:"cold_from"` // share of its capacity that a unit has when it starts
+	WarmMS   int64   `json:"warm_ms" toml:"warm_ms"`     // after its start it is warm, in milliseconds; 0: at once
+	LapseMS  int64   `json:"lapse_ms" toml:"lapse_ms"`   // a permit ends that has not begun by then, in milliseconds; 0: 2,000
+}
+
+// Check says what is wrong with limits, by key.
+func (l *Limits) Check() error {
+	seen := map[string]bool{}
+	for i, t := range l.Tiers {
+		if t.Tier == "" {
+			return fmt.Errorf("tier[%d].tier: missing", i)
+		}
+		if seen[t.Tier] {
+			return fmt.Errorf("tier[%d].tier: %q stands twice", i, t.Tier)
+		}
+		seen[t.Tier] = true
+		for key, share := range map[string]*float64{"whole": t.Whole, "zone": t.Zone, "region": t.Region, "rack": t.Rack} {
+			if share != nil && !(*share >= 0 && *share <= 1) {
+				return fmt.Errorf("tier[%d].%s: %v is no share from 0 to 1", i, key, *share)
+			}
+		}
+		if t.Whole == nil {
+			return fmt.Errorf("tier[%d].whole: missing: how much of %s may be out at once", i, t.Tier)
+		}
+	}
+	switch {
+	case len(l.Tiers) == 0:
+		return errors.New("tier: none is named")
+	case !(l.ColdFrom >= 0 && l.ColdFrom <= 1):
+		return fmt.Errorf("cold_from: %v is no share from 0 to 1", l.ColdFrom)
+	case l.WarmMS < 0 || l.LapseMS < 0:
+		return errors.New("warm_ms, lapse_ms: a time cannot be negative")
+	}
+	return nil
+}
+
+// Permit lets its holder take one start of one unit out.
+type Permit struct {
+	Unit    string `json:"unit"`
+	Start   int64  `json:"start"`
+	Token   int64  `json:"token"` // names this permit; later ones have higher ones
+	Holder  string `json:"holder"`
+	Plan    string `json:"plan,omitempty"` // the release that it belongs to
+	To      string `json:"to,omitempty"`   // the version that the unit is to come back with
+	Begun   bool   `json:"begun"`          // its holder may have taken the unit out
+	SeenOut bool   `json:"seen_out"`       // and it was
+}
+
+// scope is a part of a fleet that a limit holds for.
+type scope struct{ tier, by, name string }
+
+func (s scope) String() string {
+	if s.by == "" {
+		return "tier " + s.tier
+	}
+	return fmt.Sprintf("%s %s of tier %s", s.by, s.name, s.tier)
+}
+
+// sum is what a scope has, and what of it is out, in millionths: whole numbers add up to the same in any order, and one
+// replica may have added up what another has read from a snapshot.
+type sum struct {
+	units         int
+	capacity, out int64
+}
+
+func millionths(v float64) int64 { return int64(math.Round(v * 1e6)) }
+
+func whole(v int64) float64 { return float64(v) / 1e6 }
+
+// may is what of a capacity may be out.
+func may(share float64, capacity int64) int64 { return int64(math.Round(share * float64(capacity))) }
+
+// Ledger holds all units, limits and permits.
+type Ledger struct {
+	limits  map[string]*Limit
+	units   map[string]*Unit
+	permits map[string]*Permit
+	sums    map[scope]*sum
+
+	// Forgetful has it forget, wrongly, units that nobody hears from: a judge is proven with it.
+	Forgetful bool
+}
+
+// New returns an empty Ledger without limits.
+func New() *Ledger {
+	return &Ledger{limits: map[string]*Limit{}, units: map[string]*Unit{}, permits: map[string]*Permit{}, sums: map[scope]*sum{}}
+}
+
+// Limit puts limits in place. What is out already stays out, whatever they say.
+func (l *Ledger) Limit(limits Limits) {
+	clear(l.limits)
+	for i := range limits.Tiers {
+		l.limits[limits.Tiers[i].Tier] = &limits.Tiers[i]
+	}
+}
+
+func scopes(u *Unit) [4]scope {
+	return [4]scope{{tier: u.Tier}, {u.Tier, "zone", u.Zone}, {u.Tier, "region", u.Region}, {u.Tier, "rack", fmt.Sprint(u.Rack)}}
+}
+
+// outOf is how much of a unit's capacity counts as out.
+func (l *Ledger) outOf(u *Unit) int64 {
+	if l.permits[u.ID] != nil {
+		return millionths(u.Capacity)
+	}
+	return millionths(u.Capacity * u.Out)
+}
+
+// count adds a unit to its scopes, or takes it out of them.
+func (l *Ledger) count(u *Unit, sign int) {
+	for _, k := range scopes(u) {
+		s := l.sums[k]
+		if s == nil {
+			s = &sum{}
+			l.sums[k] = s
+		}
+		s.units += sign
+		s.capacity += int64(sign) * millionths(u.Capacity)
+		s.out += int64(sign) * l.outOf(u)
+		if s.units == 0 {
+			delete(l.sums, k)
+		}
+	}
+}
+
+// Set notes a unit as it is now, and gives the permit that this ends, if any: its unit was seen out, or has started
+// anew, and is whole again.
+func (l *Ledger) Set(u Unit) (freed *Permit) {
+	if l.Forgetful && u.Why == Missing {
+		l.Gone(u.ID)
+		return nil
+	}
+	if old := l.units[u.ID]; old != nil {
+		l.count(old, -1)
+	}
+	u.Out = min(max(u.Out, 0), 1)
+	if p := l.permits[u.ID]; p != nil {
+		moved := u.Start > p.Start // an earlier one is what a backup knows
+		if p.Begun && (u.Out > 0 || moved) {
+			p.SeenOut = true
+		}
+		if u.Out == 0 && (p.SeenOut || moved) {
+			freed = p
+			delete(l.permits, u.ID)
+		}
+	}
+	l.units[u.ID] = &u
+	l.count(&u, 1)
+	return freed
+}
+
+// Missing is why a unit is out that nobody hears from.
+const Missing = "missing"
+
+// Gone forgets a unit that is declared gone, and gives the permit that this ends, if any.
+func (l *Ledger) Gone(id string) (freed *Permit) {
+	if u := l.units[id]; u != nil {
+		l.count(u, -1)
+		delete(l.units, id)
+	}
+	freed = l.permits[id]
+	delete(l.permits, id)
+	return freed
+}
+
+// Grant gives a permit for one start of a unit, or says with the arithmetic why not. The same holder that asks for the
+// same start again gets the permit that it has. over names a plan whose permit this one may replace, once it has begun:
+// the unit is out already, and nothing more is taken.
+func (l *Ledger) Grant(p Permit, over string) (*Permit, error) {
+	u := l.units[p.Unit]
+	if u == nil {
+		return nil, fmt.Errorf("no unit %q", p.Unit)
+	}
+	if u.Start != p.Start {
+		return nil, fmt.Errorf("%s: start %d is asked for, and start %d runs", p.Unit, p.Start, u.Start)
+	}
+	if has := l.permits[p.Unit]; has != nil {
+		if over != "" && has.Plan == over && has.Begun {
+			p.Begun, p.SeenOut = true, has.SeenOut
+			l.permits[p.Unit] = &p
+			return &p, nil
+		}
+		if has.Start == p.Start && has.Holder == p.Holder && has.Plan == p.Plan && has.To == p.To {
+			return has, nil
+		}
+		return nil, fmt.Errorf("%s: %s holds a permit for it", p.Unit, has.Holder)
+	}
+	if err := l.fits(u); err != nil {
+		return nil, err
+	}
+	l.count(u, -1)
+	p.Begun, p.SeenOut = false, false
+	l.permits[p.Unit] = &p
+	l.count(u, 1)
+	return &p, nil
+}
+
+// fits says why a unit cannot be taken out beside what is out already.
+func (l *Ledger) fits(u *Unit) error {
+	limit := l.limits[u.Tier]
+	if limit == nil {
+		return fmt.Errorf("%s: no limit says how much of tier %q may be out", u.ID, u.Tier)
+	}
+	shares := [4]*float64{limit.Whole, limit.Zone, limit.Region, limit.Rack}
+	more := millionths(u.Capacity) - l.outOf(u)
+	for i, k := range scopes(u) {
+		if shares[i] == nil {
+			continue
+		}
+		s := l.sums[k]
+		if may := may(*shares[i], s.capacity); s.out+more > may {
+			return fmt.Errorf("%s: %s has %.4g of %.4g out and %.4g more would be, where %.4g may be (%.4g)",
+				u.ID, k, whole(s.out), whole(s.capacity), whole(more), whole(may), *shares[i])
+		}
+	}
+	return nil
+}
+
+// Errors of Begin.
+var (
+	ErrNoPermit = errors.New("there is no such permit")
+	ErrStart    = errors.New("the unit has started anew since")
+)
+
+// Begin marks a permit as begun: from now on its unit may be out. To begin again changes nothing.
+func (l *Ledger) Begin(unit string, token int64) (*Permit, error) {
+	p := l.permits[unit]
+	if p == nil || p.Token != token {
+		return nil, fmt.Errorf("%s: %w", unit, ErrNoPermit)
+	}
+	u := l.units[unit]
+	if u == nil || u.Start != p.Start && !p.Begun {
+		return nil, fmt.Errorf("%s: %w", unit, ErrStart)
+	}
+	p.Begun = true
+	if u.Out > 0 {
+		p.SeenOut = true
+	}
+	return p, nil
+}
+
+// Return ends a permit that has not begun; false: there is none.
+func (l *Ledger) Return(unit string, token int64) bool {
+	p := l.permits[unit]
+	if p == nil || p.Token != token || p.Begun {
+		return false
+	}
+	u := l.units[unit]
+	l.count(u, -1)
+	delete(l.permits, unit)
+	l.count(u, 1)
+	return true
+}
+
+// Restore puts a permit in place as it was kept, beside its unit.
+func (l *Ledger) Restore(p Permit) {
+	u := l.units[p.Unit]
+	if u == nil {
+		return // declared gone
+	}
+	l.count(u, -1)
+	l.permits[p.Unit] = &p
+	l.count(u, 1)
+}
+
+// Permit gives a unit's permit, or nil.
+func (l *Ledger) Permit(unit string) *Permit { return l.permits[unit] }
+
+// Permits are all permits, by unit.
+func (l *Ledger) Permits() []*Permit {
+	out := make([]*Permit, 0, len(l.permits))
+	for _, id := range slices.Sorted(maps.Keys(l.permits)) {
+		out = append(out, l.permits[id])
+	}
+	return out
+}
+
+// Use is how much of a scope is out, and how much may be.
+type Use struct {
+	Scope    string  `json:"scope"`
+	Capacity float64 `json:"capacity"`
+	Out      float64 `json:"out"`
+	May      float64 `json:"may"`
+}
+
+// Uses are all limits that hold now, the fullest first.
+func (l *Ledger) Uses() []Use {
+	var out []Use
+	for k, s := range l.sums {
+		limit := l.limits[k.tier]
+		if limit == nil {
+			continue
+		}
+		share := map[string]*float64{"": limit.Whole, "zone": limit.Zone, "region": limit.Region, "rack": limit.Rack}[k.by]
+		if share != nil {
+			out = append(out, Use{k.String(), whole(s.capacity), whole(s.out), whole(may(*share, s.capacity))})
+		}
+	}
+	slices.SortFunc(out, func(a, b Use) int {
+		return cmp.Or(cmp.Compare(b.Out-b.May, a.Out-a.May), cmp.Compare(a.Scope, b.Scope))
+	})
+	return out
+}
+
+// Out is a unit that does not serve fully.
+type Out struct {
+	Unit      string  `json:"unit"`
+	Share     float64 `json:"share"` // of its capacity
+	Why       string  `json:"why"`
+	Permitted bool    `json:"permitted"`
+}
+
+// Outs are all units that are out, or for which there is a permit.
+func (l *Ledger) Outs() []Out {
+	var out []Out
+	for _, id := range slices.Sorted(maps.Keys(l.units)) {
+		u, p := l.units[id], l.permits[id]
+		if u.Out > 0 || p != nil {
+			o := Out{id, u.Out, u.Why, p != nil}
+			if p != nil && u.Out == 0 {
+				o.Why = "permitted"
+			}
+			out = append(out, o)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/agree/release/machine.go
@@ -0,0 +1,198 @@
+package release
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"hollyspur/internal/agree/budget"
+	"hollyspur/internal/registry/state"
+)
+
+// View is what a controller knows, as of one revision.
+type View struct {
+	Units   []*state.Entry
+	Outs    []budget.Out
+	Permits []*budget.Permit
+	Records []*state.Record
+}
+
+// Order is a write that a Machine wants.
+type Order struct {
+	state.Op
+	Why string // for who reads the log
+}
+
+// Machine is one controller's memory. All that it forgets with its process only makes the next one wait longer.
+type Machine struct {
+	Holder string
+
+	seen  map[string]time.Duration // since when a unit is in hand, or a stage stands
+	tries map[string]int           // permits asked for a unit's start
+}
+
+// mostTries is how often a unit may come back as it was, or not begin, before its release halts.
+const mostTries = 20
+
+// mostInHand bounds the permits held at once where neither plan nor budget does.
+const mostInHand = 256
+
+func try(plan, unit string, start int64) string { return fmt.Sprintf("%s %s %d", plan, unit, start) }
+
+// Granted notes that an order for a permit was followed.
+func (m *Machine) Granted(o Order) { m.tries[try(o.Plan, o.UID, o.Start)]++ }
+
+// record reads a record's value; false: there is none.
+func record(v View, key string, into any) (mod int64, found bool) {
+	for _, r := range v.Records {
+		if r.Key == key {
+			return r.Mod, json.Unmarshal(r.Value, into) == nil
+		}
+	}
+	return 0, false
+}
+
+// Running are the releases that are neither done nor halted, by name.
+func Running(v View) []*Plan {
+	var l []*Plan
+	for _, r := range v.Records {
+		var p Plan
+		var pr Progress
+		if len(r.Key) <= len(PlanPrefix) || r.Key[:len(PlanPrefix)] != PlanPrefix || json.Unmarshal(r.Value, &p) != nil {
+			continue
+		}
+		if _, begun := record(v, ProgressPrefix+p.Name, &pr); begun && pr.Done || Halt(v, p.Name) != "" {
+			continue
+		}
+		l = append(l, &p)
+	}
+	return l
+}
+
+// Halt is why a release is halted; "": it is not.
+func Halt(v View, name string) string {
+	var h struct{ Why string }
+	if _, is := record(v, state.HaltPrefix+name, &h); is {
+		if h.Why == "" {
+			return "halted"
+		}
+		return h.Why
+	}
+	return ""
+}
+
+// HaltOp halts a release.
+func HaltOp(name, why string) state.Op {
+	value, _ := json.Marshal(map[string]string{"why": why}) // of strings: it cannot fail
+	return state.Op{Kind: state.Put, Key: state.HaltPrefix + name, Value: value, IfMod: state.Absent}
+}
+
+// Next gives the orders of now, in order. Each is safe to repeat, and to give beside another controller's, of which the
+// fence lets only one through.
+func (m *Machine) Next(v View, now time.Duration) []Order {
+	if m.seen == nil {
+		m.seen, m.tries = map[string]time.Duration{}, map[string]int{}
+	}
+	var orders []Order
+	for _, p := range Running(v) {
+		orders = append(orders, m.next(p, v, now)...)
+	}
+	return orders
+}
+
+// since is how long something has been so, as far as this Machine has seen.
+func (m *Machine) since(what string, is bool, now time.Duration) time.Duration {
+	if !is {
+		delete(m.seen, what)
+		return 0
+	}
+	at, known := m.seen[what]
+	if !known {
+		m.seen[what], at = now, now
+	}
+	return now - at
+}
+
+func (m *Machine) next(p *Plan, v View, now time.Duration) []Order {
+	var done Progress
+	mod, found := record(v, ProgressPrefix+p.Name, &done)
+	if !found {
+		mod = state.Absent
+	}
+	progress := func(to Progress, why string) Order {
+		value, _ := json.Marshal(to) // of numbers and strings: it cannot fail
+		return Order{state.Op{Kind: state.Put, Key: ProgressPrefix + p.Name, Value: value, IfMod: mod}, why}
+	}
+	if done.Stage >= len(p.Stages) {
+		done.Done = true
+		return []Order{progress(done, "all stages stand")}
+	}
+	units := map[string]*state.Entry{}
+	for _, u := range v.Units {
+		units[u.UID] = u
+	}
+	out := map[string]budget.Out{}
+	for _, o := range v.Outs {
+		out[o.Unit] = o
+	}
+	permits := map[string]*budget.Permit{}
+	inHand := 0
+	for _, pt := range v.Permits {
+		permits[pt.Unit] = pt
+		if pt.Plan == p.Name {
+			inHand++
+		}
+	}
+	halt := func(why string) []Order { return []Order{{HaltOp(p.Name, why), why}} }
+	var todo []Step
+	left := 0
+	for _, s := range p.Stages[done.Stage] {
+		u, pt := units[s.Unit], permits[s.Unit]
+		mine := pt != nil && pt.Plan == p.Name
+		if took := m.since(p.Name+" "+s.Unit, mine && pt.Begun, now); took > time.Duration(p.BackWithinMS)*time.Millisecond {
+			return halt(fmt.Sprintf("%s has not come back within %d ms", s.Unit, p.BackWithinMS))
+		}
+		switch {
+		case u == nil, pt == nil && u.Version == s.To && out[s.Unit].Share == 0:
+			continue // declared gone, or changed
+		case pt == nil && u.Version != s.To && out[s.Unit].Why != budget.Missing,
+			pt != nil && pt.Plan == p.Undoes && pt.Begun: // on its way to what is taken back
+			todo = append(todo, s)
+		}
+		left++
+	}
+	stage := fmt.Sprintf("%s stage %d", p.Name, done.Stage)
+	if stood := m.since(stage, left == 0, now); left == 0 {
+		if stood < time.Duration(p.BakeMS)*time.Millisecond {
+			return nil
+		}
+		done.Stage++
+		done.Done = done.Stage == len(p.Stages)
+		return []Order{progress(done, fmt.Sprintf("stage %d stands", done.Stage-1))}
+	}
+	var orders []Order
+	asked := slices.Clone(done.Asked)
+	for _, s := range todo {
+		if inHand >= cmp.Or(p.AtOnce, mostInHand) {
+			break
+		}
+		u := units[s.Unit]
+		if m.tries[try(p.Name, s.Unit, u.Token)] > mostTries {
+			return halt(fmt.Sprintf("%s was given %d permits and still runs %q", s.Unit, mostTries, u.Version))
+		}
+		inHand++
+		if !slices.Contains(asked, s.Unit) {
+			asked = append(asked, s.Unit)
+		}
+		orders = append(orders, Order{state.Op{Kind: state.Permit, UID: s.Unit, Start: u.Token, Holder: m.Holder, Plan: p.Name, To: s.To, Over: p.Undoes},
+			fmt.Sprintf("%s from %q to %q", s.Unit, s.From, s.To)})
+	}
+	if len(asked) > len(done.Asked) {
+		// Written before anything is asked: what may have changed must be known to who takes it back.
+		done.Asked = asked
+		orders = append([]Order{progress(done, "")}, orders...)
+	}
+	return orders
+}
--- /dev/null
+++ b/internal/agree/release/plan.go
@@ -0,0 +1,235 @@
+// Package release carries a plan out that changes the version of units, stage by stage and within the budget. Plan and
+// Machine are pure: what the registry holds goes in with the time, orders come out, and any controller's Machine goes on
+// from any step of another's.
+package release
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"hollyspur/internal/agree/budget"
+	"hollyspur/internal/registry/state"
+)
+
+// File is a plan as staff write it.
+type File struct {
+	Name       string             `toml:"name"`
+	Version    string             `toml:"version"`     // that the units are to run
+	AtOnce     int                `toml:"at_once"`     // permits held at once; 0: as many as the budget gives
+	Bake       string             `toml:"bake"`        // a stage must stand so long before the next; "": 2 s
+	BackWithin string             `toml:"back_within"` // a unit must be back and warm, else the release halts; "": 60 s
+	Needs      map[string]float64 `toml:"needs"`       // by tier: the capacity that the present load needs
+	Stages     []FileStage        `toml:"stage"`
+}
+
+// FileStage is one stage of it: a share of a tier, counting what earlier stages have taken, or units by name.
+type FileStage struct {
+	Tier  string   `toml:"tier"`
+	Zones []string `toml:"zones"` // none: all
+	Share float64  `toml:"share"`
+	Units []string `toml:"units"`
+}
+
+// Plan is a release as it is kept: which units, in which order.
+type Plan struct {
+	Name         string   `json:"name"`
+	Undoes       string   `json:"undoes,omitempty"` // the release that this one takes back
+	AtOnce       int      `json:"at_once,omitempty"`
+	BakeMS       int64    `json:"bake_ms"`
+	BackWithinMS int64    `json:"back_within_ms"`
+	Stages       [][]Step `json:"stages"`
+}
+
+// Step is one unit's change.
+type Step struct {
+	Unit string `json:"unit"`
+	From string `json:"from"`
+	To   string `json:"to"`
+}
+
+// Keys of the records of a release.
+const (
+	PlanPrefix     = "plan/"
+	ProgressPrefix = "release/"
+)
+
+// Progress is how far a release has come.
+type Progress struct {
+	Stage int      `json:"stage"`
+	Done  bool     `json:"done,omitempty"`
+	Asked []string `json:"asked"` // units for which a permit was asked, in that order
+}
+
+// Parse reads a plan for the units that there are, and says what is wrong with it by key.
+func Parse(text []byte, units []*state.Entry) (*Plan, *File, error) {
+	var f File
+	d := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
+		var unknown *toml.StrictMissingError
+		if errors.As(err, &unknown) {
+			return nil, nil, fmt.Errorf("%s: there is no such key", strings.Join(unknown.Errors[0].Key(), "."))
+		}
+		return nil, nil, err
+	}
+	p := &Plan{Name: f.Name, AtOnce: f.AtOnce}
+	switch {
+	case f.Name == "" || strings.ContainsAny(f.Name, "/ \t\n"):
+		return nil, nil, fmt.Errorf("name: %q is empty, or has a space or slash in it", f.Name)
+	case f.Version == "":
+		return nil, nil, errors.New("version: missing")
+	case f.AtOnce < 0:
+		return nil, nil, fmt.Errorf("at_once: %d is negative", f.AtOnce)
+	case len(f.Stages) == 0:
+		return nil, nil, errors.New("stage: there is none")
+	}
+	for _, d := range []struct {
+		key, text string
+		to        *int64
+		or        time.Duration
+	}{{"bake", f.Bake, &p.BakeMS, 2 * time.Second}, {"back_within", f.BackWithin, &p.BackWithinMS, time.Minute}} {
+		v := d.or
+		if d.text != "" {
+			var err error
+			if v, err = time.ParseDuration(d.text); err != nil || v < 0 {
+				return nil, nil, fmt.Errorf("%s: %q is no time", d.key, d.text)
+			}
+		}
+		*d.to = v.Milliseconds()
+	}
+	tiers := map[string]bool{}
+	byID := map[string]*state.Entry{}
+	for _, u := range units {
+		tiers[u.Tier] = true
+		byID[u.UID] = u
+	}
+	taken := map[string]bool{}
+	for i, st := range f.Stages {
+		l, err := st.pick(units, byID, tiers, taken)
+		if err != nil {
+			return nil, nil, fmt.Errorf("stage[%d].%w", i, err)
+		}
+		steps := []Step{}
+		for _, u := range l {
+			taken[u.UID] = true
+			if u.Version != f.Version {
+				steps = append(steps, Step{u.UID, u.Version, f.Version})
+			}
+		}
+		p.Stages = append(p.Stages, steps)
+	}
+	for tier := range f.Needs {
+		if !tiers[tier] {
+			return nil, nil, fmt.Errorf("needs.%s: there is no such tier", tier)
+		}
+	}
+	return p, &f, nil
+}
+
+// pick gives a stage's units, evenly along the order of their names so that every zone is among the first.
+func (st *FileStage) pick(units []*state.Entry, byID map[string]*state.Entry, tiers, taken map[string]bool) ([]*state.Entry, error) {
+	var l []*state.Entry
+	if len(st.Units) > 0 {
+		for _, id := range st.Units {
+			u := byID[id]
+			switch {
+			case u == nil:
+				return nil, fmt.Errorf("units: there is no unit %q", id)
+			case taken[id]:
+				return nil, fmt.Errorf("units: %q is in an earlier stage", id)
+			}
+			l = append(l, u)
+		}
+		return l, nil
+	}
+	if !tiers[st.Tier] {
+		return nil, fmt.Errorf("tier: there is no tier %q", st.Tier)
+	}
+	if !(st.Share > 0 && st.Share <= 1) {
+		return nil, fmt.Errorf("share: %v is no share above 0", st.Share)
+	}
+	zones := map[string]bool{}
+	has := 0
+	for _, u := range units {
+		zones[u.Zone] = true
+		if u.Tier != st.Tier || len(st.Zones) > 0 && !slices.Contains(st.Zones, u.Zone) {
+			continue
+		}
+		if taken[u.UID] {
+			has++
+		} else {
+			l = append(l, u)
+		}
+	}
+	for _, z := range st.Zones {
+		if !zones[z] {
+			return nil, fmt.Errorf("zones: there is no zone %q", z)
+		}
+	}
+	want := int(math.Ceil(st.Share*float64(len(l)+has)-1e-9)) - has
+	if want <= 0 {
+		return nil, nil
+	}
+	picked := make([]*state.Entry, want)
+	for i := range picked {
+		picked[i] = l[i*len(l)/want]
+	}
+	return picked, nil
+}
+
+// Fits says with the arithmetic why the present load could not be kept with as much out as the plan may take out at
+// once beside what is out already; nil: it could.
+func Fits(p *Plan, needs map[string]float64, units []*state.Entry, l budget.Limits, outs []budget.Out) error {
+	out := map[string]float64{}
+	for _, o := range outs {
+		out[o.Unit] = o.Share
+	}
+	for _, limit := range l.Tiers {
+		need, asked := needs[limit.Tier]
+		if !asked {
+			continue
+		}
+		var capacity, gone, largest float64
+		for _, u := range units {
+			if u.Tier != limit.Tier {
+				continue
+			}
+			capacity += u.Capacity
+			gone += out[u.UID] * u.Capacity
+			largest = max(largest, u.Capacity)
+		}
+		may := *limit.Whole * capacity
+		if p.AtOnce > 0 {
+			may = min(may, float64(p.AtOnce)*largest)
+		}
+		if left := capacity - max(may, gone); left < need {
+			return fmt.Errorf("tier %s has a capacity of %.4g, %.4g of it out, and up to %.4g may be out at once: %.4g would be left where the load needs %.4g",
+				limit.Tier, capacity, gone, max(may, gone), left, need)
+		}
+	}
+	return nil
+}
+
+// Back is the plan that takes a release back, newest change first: what was changed last, or is being changed, goes
+// first. It is a release as any other, within the same budget.
+func Back(p *Plan, done Progress) *Plan {
+	from := map[string]Step{}
+	for _, stage := range p.Stages {
+		for _, s := range stage {
+			from[s.Unit] = s
+		}
+	}
+	b := &Plan{Name: p.Name + "-back", Undoes: p.Name, AtOnce: p.AtOnce, BakeMS: 0, BackWithinMS: p.BackWithinMS}
+	steps := []Step{}
+	for _, id := range slices.Backward(done.Asked) {
+		s := from[id]
+		steps = append(steps, Step{id, s.To, s.From})
+	}
+	b.Stages = [][]Step{steps}
+	return b
+}
--- a/internal/registry/replica/api.go
+++ b/internal/registry/replica/api.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"io"
@@ -13,6 +14,7 @@
 
 	"github.com/hashicorp/raft"
 
+	"hollyspur/internal/agree/budget"
 	"hollyspur/internal/registry/state"
 )
 
@@ -61,6 +63,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /registry/instances", r.instances)
 	mux.HandleFunc("GET /registry/status", r.status)
+	mux.HandleFunc("GET /registry/agreed", r.agreement)
 	mux.Handle("GET /metrics", r.meters.handler())
 	mux.HandleFunc("GET /registry/backup", func(w http.ResponseWriter, _ *http.Request) {
 		text, err := r.backup()
@@ -224,6 +227,69 @@
 	reply(w, st, nil)
 }
 
+// Agreed is what a site has agreed on, as of a revision.
+type Agreed struct {
+	Rev     int64            `json:"rev"`
+	Limits  *budget.Limits   `json:"limits,omitempty"`
+	Uses    []budget.Use     `json:"uses,omitempty"`
+	Outs    []budget.Out     `json:"outs,omitempty"`
+	Permits []*budget.Permit `json:"permits"`
+	Records []*state.Record  `json:"records"`
+	Units   []*state.Entry   `json:"units,omitempty"` // nodes and servers that count, the missing with them
+	Lead    *state.Entry     `json:"lead,omitempty"`  // who acts, where a lead is asked for
+}
+
+// maxWait is the longest that a call for what is agreed waits for a change.
+const maxWait = 10 * time.Second
+
+// agreement tells what is agreed. after=REV waits until there is a later revision, or wait_ms are over; unit=UID gives that
+// unit and its permit alone; units=1 gives all units, lead=UID that controller; consistent=1 is as for instances.
+func (r *Replica) agreement(w http.ResponseWriter, q *http.Request) {
+	query := q.URL.Query()
+	if query.Get("consistent") != "" {
+		if r.raft.State() != raft.Leader {
+			r.pass(w, q, nil)
+			return
+		}
+		if err := r.upToDate(); err != nil {
+			reply(w, nil, err)
+			return
+		}
+	}
+	if text := query.Get("after"); text != "" {
+		rev, err := strconv.ParseInt(text, 10, 64)
+		ms, err2 := strconv.Atoi(cmp.Or(query.Get("wait_ms"), "1000"))
+		if err != nil || err2 != nil || ms < 0 {
+			reply(w, nil, badRequest{errors.New("after, wait_ms: no number")})
+			return
+		}
+		r.await(q, rev+1, min(time.Duration(ms)*time.Millisecond, maxWait))
+	}
+	var a Agreed
+	var text []byte
+	var err error
+	r.fsm.read(func(s *state.State) {
+		a = Agreed{Rev: s.Rev(), Limits: s.Limits(), Permits: []*budget.Permit{}, Records: []*state.Record{}}
+		if uid := query.Get("unit"); uid != "" {
+			if e := cmp.Or(s.Get(uid), s.Missing(uid)); e != nil {
+				a.Units = append(a.Units, e)
+			}
+			if p := s.Ledger().Permit(uid); p != nil {
+				a.Permits = append(a.Permits, p)
+			}
+		} else {
+			a.Uses, a.Outs, a.Permits, a.Records = s.Ledger().Uses(), s.Ledger().Outs(), s.Ledger().Permits(), s.Records("")
+			a.Lead = s.Get(query.Get("lead"))
+		}
+		if query.Get("units") != "" {
+			a.Units = s.Units()
+		}
+		text, err = json.Marshal(a) // permits change in place
+	})
+	w.Header().Set(HeaderRev, strconv.FormatInt(a.Rev, 10))
+	reply(w, json.RawMessage(text), err)
+}
+
 // instances is discovery's form: the whole list, or a watch. at_least=REV waits until the replica has that revision;
 // consistent=1 reads what was committed when the call came. Else the answer may be stale, by what its header says.
 func (r *Replica) instances(w http.ResponseWriter, q *http.Request) {
@@ -249,7 +315,7 @@
 			return
 		}
 	}
-	if least := numbers["at_least"]; least > 0 && !r.await(q, least) {
+	if least := numbers["at_least"]; least > 0 && !r.await(q, least, awaitAtMost) {
 		reply(w, nil, errors.New("this replica has not come to that revision"))
 		return
 	}
@@ -269,8 +335,8 @@
 }
 
 // await waits for a revision.
-func (r *Replica) await(q *http.Request, least int64) bool {
-	late := time.After(awaitAtMost)
+func (r *Replica) await(q *http.Request, least int64, most time.Duration) bool {
+	late := time.After(most)
 	for {
 		r.fsm.hub.mu.Lock()
 		rev, wake := r.fsm.hub.rev, r.fsm.hub.wake
--- a/internal/registry/replica/fsm.go
+++ b/internal/registry/replica/fsm.go
@@ -53,6 +53,7 @@
 	var changed []*state.Entry
 	restored := false
 	f.mu.Lock()
+	before := f.state.Rev()
 	for i, l := range logs {
 		if l.Type != raft.LogCommand {
 			continue
@@ -87,7 +88,7 @@
 	// Only this goroutine changes the State, so the hub hears of changes in their order.
 	if restored {
 		f.hub.reset(rev)
-	} else if len(changed) > 0 {
+	} else if rev != before { // a line even if it changes no entry, for readers to go on from its revision
 		if err := f.hub.publish(rev, changed); err != nil {
 			f.hub.reset(rev) // readers take the whole list instead
 		}
--- a/internal/registry/replica/hub.go
+++ b/internal/registry/replica/hub.go
@@ -77,9 +77,13 @@
 }
 
 func encode(m message) ([]byte, error) {
-	if m.Targets == nil {
-		m.Targets = []*state.Entry{} // a list without targets is none
+	targets := []*state.Entry{} // a list without targets is none
+	for _, e := range m.Targets {
+		if e.Role == "" {
+			targets = append(targets, e)
+		}
 	}
+	m.Targets = targets
 	text, err := json.Marshal(m)
 	return append(text, '\n'), err
 }
--- a/internal/registry/replica/leases.go
+++ b/internal/registry/replica/leases.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
+	"hollyspur/internal/agree/budget"
 	"hollyspur/internal/registry/state"
 )
 
@@ -33,6 +35,21 @@
 	ends    time.Duration // on the leader's clock
 	ended   time.Duration // when it did; 0: it has not
 	suspect bool          // the State says so too
+	alone   bool          // its end is believed whatever else ends
+}
+
+// warming is a unit that has started and is cold.
+type warming struct {
+	token int64
+	since time.Duration // when this leader first knew of it
+	from  float64       // how cold it was then
+	cold  float64       // and is, as the State has it
+}
+
+// waiting is a permit that has not begun.
+type waiting struct {
+	token int64
+	since time.Duration
 }
 
 // leases are kept by the leader alone, in memory and on a clock that only it reads: the time since it began to lead. A
@@ -42,10 +59,15 @@
 	guard Guard
 	byUID map[string]*lease
 	last  time.Duration // the last look
+
+	warmFor  time.Duration // units take to warm up
+	lapse    time.Duration // a permit has to begin
+	warmings map[string]*warming
+	permits  map[string]waiting
 }
 
 func newLeases(g Guard, entries []*state.Entry, now time.Duration) *leases {
-	l := &leases{guard: g, byUID: map[string]*lease{}, last: now}
+	l := &leases{guard: g, byUID: map[string]*lease{}, last: now, warmings: map[string]*warming{}, permits: map[string]waiting{}}
 	for _, e := range entries {
 		l.hold(e, now)
 	}
@@ -54,6 +76,7 @@
 
 // hold begins, or begins anew, the lease of an entry as the State has it.
 func (l *leases) hold(e *state.Entry, now time.Duration) {
+	l.warm(e, now)
 	if e.State == state.Deleted || e.TTLMS == 0 {
 		delete(l.byUID, e.UID)
 		return
@@ -63,7 +86,56 @@
 		old.zone, old.ttl, old.suspect = e.Zone, ttl, e.Suspect
 		return
 	}
-	l.byUID[e.UID] = &lease{token: e.Token, zone: e.Zone, ttl: ttl, ends: now + ttl, suspect: e.Suspect}
+	l.byUID[e.UID] = &lease{token: e.Token, zone: e.Zone, ttl: ttl, ends: now + ttl, suspect: e.Suspect, alone: e.Role == state.Controller}
+}
+
+// warm begins, or goes on with, the warming up of an entry as the State has it.
+func (l *leases) warm(e *state.Entry, now time.Duration) {
+	switch w := l.warmings[e.UID]; {
+	case e.State == state.Deleted || e.Cold == 0:
+		delete(l.warmings, e.UID)
+	case w != nil && w.token == e.Token:
+		w.cold = e.Cold
+	default:
+		l.warmings[e.UID] = &warming{e.Token, now, e.Cold, e.Cold}
+	}
+}
+
+// warmSteps is in how many writes a unit warms up.
+const warmSteps = 4
+
+// warmer says how cold units are now, step by step and evenly over the time that the limits give.
+func (l *leases) warmer(now time.Duration) (ops []state.Op) {
+	for uid, w := range l.warmings {
+		share := 1.0
+		if l.warmFor > 0 {
+			share = math.Floor(warmSteps*float64(now-w.since)/float64(l.warmFor)) / warmSteps
+		}
+		if cold := w.from * (1 - min(share, 1)); cold < w.cold {
+			ops = append(ops, state.Op{Kind: state.Warm, UID: uid, Token: w.token, Cold: &cold})
+		}
+	}
+	return ops
+}
+
+// defaultLapse is how long a permit has to begin where the limits do not say.
+const defaultLapse = 2 * time.Second
+
+// lapses ends the permits that have not begun in time. held are those that have not begun.
+func (l *leases) lapses(held []*budget.Permit, now time.Duration) (ops []state.Op) {
+	still := map[string]waiting{}
+	for _, p := range held {
+		w, known := l.permits[p.Unit]
+		if !known || w.token != p.Token {
+			w = waiting{p.Token, now}
+		}
+		still[p.Unit] = w
+		if now-w.since >= l.lapse {
+			ops = append(ops, state.Op{Kind: state.Return, UID: p.Unit, Token: p.Token})
+		}
+	}
+	l.permits = still
+	return ops
 }
 
 // renew gives a lease its whole time again; false: there is none with this token.
@@ -86,6 +158,9 @@
 		for _, h := range l.byUID {
 			h.ends += gap
 		}
+		for _, w := range l.warmings { // nor is it known who ran
+			w.since += gap
+		}
 	}
 	l.last = now
 	type zone struct{ all, lost int }
@@ -94,6 +169,12 @@
 	lost := 0
 	var ops []state.Op
 	for uid, h := range l.byUID {
+		if h.alone {
+			if now >= h.ends {
+				ops = append(ops, state.Op{Kind: state.Expire, UID: uid, Token: h.token})
+			}
+			continue
+		}
 		z := zones[h.zone]
 		if z == nil {
 			z = &zone{}
@@ -135,6 +216,7 @@
 			ops = append(ops, state.Op{Kind: state.Suspect, UID: uid, Token: h.token})
 		}
 	}
+	ops = append(ops, l.warmer(now)...)
 	slices.SortFunc(ops, func(a, b state.Op) int { return cmp.Compare(a.UID, b.UID) })
 	return ops
 }
--- a/internal/registry/replica/replica.go
+++ b/internal/registry/replica/replica.go
@@ -24,6 +24,7 @@
 	"github.com/hashicorp/raft"
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
 
+	"hollyspur/internal/agree/budget"
 	"hollyspur/internal/registry/state"
 )
 
@@ -315,7 +316,9 @@
 				r.cfg.Log.Warn("this replica's disk is slow: another shall lead")
 				r.raft.LeadershipTransfer() // its end shows in leads; who cannot take over leaves things as they are
 			}
-			if ops := kept.look(time.Since(began)); len(ops) > 0 {
+			now := time.Since(began)
+			held := r.agreed(kept)
+			if ops := append(kept.look(now), kept.lapses(held, now)...); len(ops) > 0 {
 				r.propose(ops)
 			}
 		case ask := <-r.asks:
@@ -342,6 +345,28 @@
 	return newLeases(r.cfg.Guard, entries, now), rev, wake
 }
 
+// agreed tells the leases of the limits, and gives the permits that have not begun.
+func (r *Replica) agreed(kept *leases) (held []*budget.Permit) {
+	r.fsm.read(func(s *state.State) {
+		limits := s.Limits()
+		if limits == nil {
+			kept.warmFor, kept.lapse = 0, defaultLapse
+			return
+		}
+		kept.warmFor, kept.lapse = time.Duration(limits.WarmMS)*time.Millisecond, time.Duration(limits.LapseMS)*time.Millisecond
+		if kept.lapse == 0 {
+			kept.lapse = defaultLapse
+		}
+		for _, p := range s.Ledger().Permits() {
+			if !p.Begun {
+				copied := *p
+				held = append(held, &copied)
+			}
+		}
+	})
+	return held
+}
+
 // follow brings the leases up to what has changed since a revision.
 func (r *Replica) follow(kept *leases, since int64, now time.Duration) (int64, <-chan struct{}) {
 	rev, wake, changed, whole := r.fsm.hub.entriesAfter(since)
--- /dev/null
+++ b/internal/registry/state/agree.go
@@ -0,0 +1,414 @@
+package state
+
+import (
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+
+	"hollyspur/internal/agree/budget"
+)
+
+// What processes of a site have agreed on beside the list: limits of what may be out, permits, and records. It is
+// changed by writes under the same revisions, and as pure.
+
+// Roles of entries. Those that are no servers stay out of the list that nodes read.
+const (
+	Node       = "node"       // a node's process, which can be taken out as a server can; its Kind is the tier that it sends to
+	Controller = "controller" // whoever acts for all that could; see Op.Fence
+)
+
+// Kinds of writes about what is agreed.
+const (
+	SetLimits = "limits"
+	Permit    = "permit" // for one start of one unit
+	Begin     = "begin"  // the unit is taken out from now on; a server drains with it
+	Return    = "return" // a permit that has not begun
+	Gone      = "gone"   // a unit that will not come back, or not soon
+	Warm      = "warm"   // by the leader: how cold a unit still is
+	Avoid     = "avoid"  // by a node: which servers it keeps out for their health
+	Put       = "put"    // a record, or with no value its end
+)
+
+// Faults of writes about what is agreed.
+const (
+	OverBudget = "over-budget"
+	Halted     = "halted"
+	NoPermit   = "no-permit"
+)
+
+// Absent as Op.IfMod means that there must be no such entry or record.
+const Absent = -1
+
+// HaltPrefix begins the key of the record that halts a plan: while it stands nothing of the plan begins.
+const HaltPrefix = "halt/"
+
+// Fence names an entry that must be held by a token, for a write to count: whoever has lost its lease writes in vain.
+type Fence struct {
+	UID   string `json:"uid"`
+	Token int64  `json:"token"`
+}
+
+// Record is something agreed on, under a key.
+type Record struct {
+	Key   string          `json:"key"`
+	Mod   int64           `json:"mod"` // revision of its last change
+	Value json.RawMessage `json:"value"`
+}
+
+// agreed is that part of a State.
+type agreed struct {
+	limits  *budget.Limits // nil: none, and nobody counts
+	ledger  *budget.Ledger
+	missing map[string]*Entry // that nobody hears from, or that took themselves out: out until back or declared gone
+	records map[string]*Record
+	avoids  map[string][]string // by node
+	avoided map[string]int      // by server: how many nodes avoid it
+	nodes   map[string]int      // by the tier that they send to, how many there are
+}
+
+func newAgreed() agreed {
+	return agreed{ledger: budget.New(), missing: map[string]*Entry{}, records: map[string]*Record{},
+		avoids: map[string][]string{}, avoided: map[string]int{}, nodes: map[string]int{}}
+}
+
+// Ledger is what may be out and what is. It must not be changed.
+func (s *State) Ledger() *budget.Ledger { return s.ledger }
+
+// Limits are those in force; nil: none.
+func (s *State) Limits() *budget.Limits { return s.limits }
+
+// Record gives a record, or nil.
+func (s *State) Record(key string) *Record { return s.records[key] }
+
+// Records are all records whose keys begin so, by key.
+func (s *State) Records(prefix string) []*Record {
+	l := []*Record{}
+	for _, key := range slices.Sorted(maps.Keys(s.records)) {
+		if strings.HasPrefix(key, prefix) {
+			l = append(l, s.records[key])
+		}
+	}
+	return l
+}
+
+// Units are the entries that count in a budget, the missing with them, by uid.
+func (s *State) Units() []*Entry {
+	l := []*Entry{}
+	for _, from := range []map[string]*Entry{s.entries, s.missing} {
+		for _, e := range from {
+			if e.Tier != "" && e.Role != Controller {
+				l = append(l, e)
+			}
+		}
+	}
+	slices.SortFunc(l, func(a, b *Entry) int { return compare(a.UID, b.UID) })
+	return l
+}
+
+// Missing gives an entry that is out as nobody hears from it, or nil.
+func (s *State) Missing(uid string) *Entry { return s.missing[uid] }
+
+// fenced says that a write's fence holds no more.
+func (s *State) fenced(f *Fence) bool {
+	if f == nil {
+		return false
+	}
+	e := s.entries[f.UID]
+	return e == nil || e.Token != f.Token
+}
+
+// agree carries out a write about what is agreed.
+func (s *State) agree(op Op) (Answer, *Entry) {
+	switch op.Kind {
+	case SetLimits:
+		if op.Limits == nil || op.Limits.Check() != nil {
+			return Answer{Fault: Bad}, nil
+		}
+		s.rev++
+		s.limits = op.Limits
+		s.ledger.Limit(*op.Limits)
+		return Answer{}, nil
+	case Permit:
+		return s.permit(op), nil
+	case Begin:
+		return s.begin(op)
+	case Return:
+		if !s.ledger.Return(op.UID, op.Token) {
+			return Answer{Fault: NoPermit}, nil
+		}
+		s.rev++
+		return Answer{}, nil
+	case Gone:
+		if s.entries[op.UID] != nil {
+			return s.change(Op{Kind: Remove, UID: op.UID})
+		}
+		if s.missing[op.UID] == nil {
+			return Answer{Fault: NotFound}, nil
+		}
+		delete(s.missing, op.UID)
+		s.ledger.Gone(op.UID)
+		s.rev++
+		return Answer{}, nil
+	case Avoid:
+		return s.avoid(op), nil
+	case Put:
+		return s.putRecord(op), nil
+	}
+	return Answer{Fault: Bad}, nil
+}
+
+func (s *State) permit(op Op) Answer {
+	had := s.ledger.Permit(op.UID)
+	p, err := s.ledger.Grant(budget.Permit{Unit: op.UID, Start: op.Start, Token: s.rev + 1, Holder: op.Holder, Plan: op.Plan, To: op.To}, op.Over)
+	if err != nil {
+		return Answer{Fault: OverBudget, Why: err.Error()}
+	}
+	if had != p {
+		s.rev++
+	}
+	return Answer{Token: p.Token}
+}
+
+// begin lets a permit's holder take its unit out. What has begun can begin again, halted or not, as its first answer
+// may have been lost.
+func (s *State) begin(op Op) (Answer, *Entry) {
+	p := s.ledger.Permit(op.UID)
+	if p != nil && !p.Begun && p.Plan != "" && s.records[HaltPrefix+p.Plan] != nil {
+		return Answer{Fault: Halted}, nil
+	}
+	begun := p != nil && p.Begun
+	p, err := s.ledger.Begin(op.UID, op.Token)
+	switch {
+	case errors.Is(err, budget.ErrStart):
+		return Answer{Fault: Fenced, Why: err.Error()}, nil
+	case err != nil:
+		return Answer{Fault: NoPermit, Why: err.Error()}, nil
+	case begun:
+		return Answer{Token: p.Token}, nil
+	}
+	e := s.entries[op.UID]
+	if e == nil || e.Role != "" {
+		s.rev++
+		return Answer{Token: p.Token}, nil
+	}
+	drained := *e
+	drained.State = Draining
+	return Answer{Token: p.Token}, s.put(drained)
+}
+
+// avoid notes which servers a node keeps out. A server counts as out while more than half of the nodes do.
+func (s *State) avoid(op Op) Answer {
+	e := s.entries[op.UID]
+	switch {
+	case e == nil || e.Role != Node:
+		return Answer{Fault: NotFound}
+	case op.Token != e.Token:
+		return Answer{Fault: Fenced}
+	}
+	s.setAvoids(op.UID, op.Avoids)
+	s.rev++
+	return Answer{}
+}
+
+func (s *State) setAvoids(node string, avoids []string) {
+	touched := s.avoids[node]
+	for _, uid := range touched {
+		if s.avoided[uid]--; s.avoided[uid] == 0 {
+			delete(s.avoided, uid)
+		}
+	}
+	avoids = slices.Compact(slices.Sorted(slices.Values(avoids)))
+	if len(avoids) == 0 {
+		delete(s.avoids, node)
+	} else {
+		s.avoids[node] = avoids
+	}
+	for _, uid := range avoids {
+		s.avoided[uid]++
+	}
+	for _, uid := range append(touched, avoids...) {
+		if e := s.entries[uid]; e != nil {
+			s.note(e)
+		}
+	}
+}
+
+func (s *State) putRecord(op Op) Answer {
+	old := s.records[op.Key]
+	switch {
+	case op.Key == "" || len(op.Key) > maxText || len(op.Value) > maxRecord || len(op.Value) > 0 && !json.Valid(op.Value):
+		return Answer{Fault: Bad}
+	case op.IfMod == Absent && old != nil, op.IfMod > 0 && (old == nil || old.Mod != op.IfMod):
+		return Answer{Fault: Conflict}
+	case len(op.Value) == 0 && old == nil:
+		return Answer{Fault: NotFound}
+	}
+	s.rev++
+	if len(op.Value) == 0 {
+		delete(s.records, op.Key)
+	} else {
+		s.records[op.Key] = &Record{op.Key, s.rev, op.Value}
+	}
+	return Answer{}
+}
+
+// note lets the ledger know of an entry as it is now.
+func (s *State) note(e *Entry) {
+	if e.Tier == "" || e.Role == Controller {
+		return
+	}
+	u := budget.Unit{ID: e.UID, Start: e.Token, Tier: e.Tier, Zone: e.Zone, Region: e.Region, Rack: e.Rack, Capacity: e.Capacity}
+	switch {
+	case s.missing[e.UID] != nil:
+		u.Out, u.Why = 1, budget.Missing
+	case e.Suspect:
+		u.Out, u.Why = 1, "suspect"
+	case e.State == Draining:
+		u.Out, u.Why = 1, "draining"
+	case 2*s.avoided[e.UID] > s.nodes[e.Tier]:
+		u.Out, u.Why = 1, "avoided"
+	case e.Cold > 0:
+		u.Out, u.Why = e.Cold, "cold"
+	}
+	s.ledger.Set(u)
+}
+
+// settle notes an entry that was put in place of another, or taken out.
+func (s *State) settle(old, e *Entry, declared bool) {
+	if e.Role == Node {
+		s.countNode(old, -1)
+		s.countNode(e, 1)
+		if e.State == Deleted || old != nil && old.Token != e.Token { // another process knows nothing yet
+			s.setAvoids(e.UID, nil)
+		}
+	}
+	switch {
+	case e.Tier == "" || e.Role == Controller:
+	case e.State != Deleted:
+		delete(s.missing, e.UID)
+		s.note(e)
+	case declared || s.limits == nil:
+		delete(s.missing, e.UID)
+		s.ledger.Gone(e.UID)
+	default:
+		gone := *e
+		gone.State = old.State
+		s.missing[e.UID] = &gone
+		s.note(&gone)
+	}
+}
+
+// countNode counts a node in or out, and looks anew at what most nodes avoid.
+func (s *State) countNode(e *Entry, n int) {
+	if e == nil || e.Role != Node || e.State == Deleted {
+		return
+	}
+	s.nodes[e.Kind] += n
+	for uid := range s.avoided {
+		if a := s.entries[uid]; a != nil {
+			s.note(a)
+		}
+	}
+}
+
+// found takes back an entry that was missing, in the same start of the same process. One that was taken out by a permit
+// is still being taken out, whatever it says.
+func (s *State) found(lost *Entry, e Entry) (Answer, *Entry) {
+	e.Token, e.Cold = lost.Token, lost.Cold
+	if p := s.ledger.Permit(e.UID); p != nil && p.Begun && p.Start == e.Token && e.Role == "" {
+		e.State = Draining
+	}
+	return Answer{Token: e.Token}, s.put(e)
+}
+
+// cold is how cold an entry is that has just started.
+func (s *State) cold(e *Entry) float64 {
+	if s.limits == nil || s.limits.WarmMS == 0 || e.BootMS == 0 {
+		return 0
+	}
+	return 1 - s.limits.ColdFrom
+}
+
+// ---- Snapshots ----
+
+// agreedImage is that part of a State as it is kept.
+type agreedImage struct {
+	Limits  *budget.Limits      `json:"limits,omitempty"`
+	Permits []*budget.Permit    `json:"permits,omitempty"`
+	Missing []*Entry            `json:"missing,omitempty"`
+	Records []*Record           `json:"records,omitempty"`
+	Avoids  map[string][]string `json:"avoids,omitempty"`
+}
+
+func (s *State) agreedImage() agreedImage {
+	m := agreedImage{Limits: s.limits, Permits: s.ledger.Permits(), Records: s.Records(""), Avoids: s.avoids}
+	for _, uid := range slices.Sorted(maps.Keys(s.missing)) {
+		m.Missing = append(m.Missing, s.missing[uid])
+	}
+	return m
+}
+
+// load puts in place what was kept, once the entries are.
+func (s *State) load(m agreedImage) {
+	if m.Limits != nil {
+		s.limits = m.Limits
+		s.ledger.Limit(*m.Limits)
+	}
+	for _, r := range m.Records {
+		s.records[r.Key] = r
+	}
+	for _, e := range m.Missing {
+		if s.entries[e.UID] == nil {
+			s.missing[e.UID] = e
+		}
+	}
+	for _, e := range s.entries {
+		s.countNode(e, 1)
+	}
+	for _, e := range s.Entries() {
+		s.note(e)
+	}
+	for _, e := range s.missing {
+		s.note(e)
+	}
+	for node, l := range m.Avoids {
+		s.setAvoids(node, l)
+	}
+	for _, p := range m.Permits {
+		s.ledger.Restore(*p)
+	}
+}
+
+// restored puts in place what is agreed when a backup takes the place of a running State. What is out does not come
+// back by a restore, so the permits and the missing of the running one stay, and the backup's beside them where it
+// alone knows the unit; so do halts, which nobody has lifted.
+func (s *State) restored(backup, running *State) {
+	m := backup.agreedImage()
+	m.Avoids = nil
+	for _, e := range running.agreedImage().Missing {
+		if backup.missing[e.UID] == nil {
+			m.Missing = append(m.Missing, e)
+		}
+	}
+	m.Permits = slices.DeleteFunc(m.Permits, func(p *budget.Permit) bool {
+		return running.entries[p.Unit] != nil || running.missing[p.Unit] != nil
+	})
+	for _, p := range running.ledger.Permits() {
+		kept := *p
+		kept.SeenOut = false // in the new epoch, not yet
+		m.Permits = append(m.Permits, &kept)
+		if e := s.entries[p.Unit]; e != nil && p.Begun && e.Role == "" {
+			drained := *e
+			drained.State, drained.Mod = Draining, s.rev
+			s.entries[p.Unit] = &drained
+		}
+	}
+	for _, r := range running.Records(HaltPrefix) {
+		if backup.records[r.Key] == nil {
+			m.Records = append(m.Records, r)
+		}
+	}
+	s.load(m)
+}
--- a/internal/registry/state/state.go
+++ b/internal/registry/state/state.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"maps"
 	"slices"
+
+	"hollyspur/internal/agree/budget"
 )
 
 // Server states, in discovery's words.
@@ -30,12 +32,16 @@
 	Capacity float64 `json:"capacity_hint"`
 	BootMS   float64 `json:"boot_ms"`
 
+	Role    string `json:"role,omitempty"` // "" a server; see the Roles
+	Tier    string `json:"tier,omitempty"` // whose budget it counts in; "": none
 	Region  string `json:"region,omitempty"`
 	Version string `json:"version,omitempty"`
 	TTLMS   int64  `json:"ttl_ms,omitempty"`  // of its lease; 0: it has none, and stays until it is removed
 	Token   int64  `json:"token,omitempty"`   // of the process that holds it: the revision of its registration
 	Mod     int64  `json:"mod,omitempty"`     // revision of its last change
 	Suspect bool   `json:"suspect,omitempty"` // its lease has ended, but so have too many others' to believe it
+
+	Cold float64 `json:"cold,omitempty"` // share of its capacity that it surely lacks after its start
 }
 
 // Kinds of writes.
@@ -57,12 +63,24 @@
 	Entry *Entry `json:"entry,omitempty"`
 	UID   string `json:"uid,omitempty"`
 	Token int64  `json:"token,omitempty"`  // 0: an operator's
-	IfMod int64  `json:"if_mod,omitempty"` // only if the entry is of this revision; 0: whatever it is
+	IfMod int64  `json:"if_mod,omitempty"` // only if the entry is of this revision; 0: whatever it is; or Absent
+	Fence *Fence `json:"fence,omitempty"`  // only as long as its holder has its lease
 	// What Update sets; absent: as it is.
 	State    string   `json:"state,omitempty"`
 	Capacity *float64 `json:"capacity,omitempty"`
 	// What Member sets; an empty address takes the replica out.
 	Address string `json:"address,omitempty"`
+	// What the writes of agree.go set; UID names the unit.
+	Limits *budget.Limits  `json:"limits,omitempty"`
+	Start  int64           `json:"start,omitempty"` // token of the unit's start
+	Holder string          `json:"holder,omitempty"`
+	Plan   string          `json:"plan,omitempty"`
+	To     string          `json:"to,omitempty"`
+	Over   string          `json:"over,omitempty"` // the plan whose begun permit this one takes the place of
+	Cold   *float64        `json:"cold,omitempty"`
+	Avoids []string        `json:"avoids,omitempty"`
+	Key    string          `json:"key,omitempty"`
+	Value  json.RawMessage `json:"value,omitempty"`
 }
 
 // Answer is what became of a write.
@@ -70,6 +88,7 @@
 	Rev   int64  `json:"rev"` // of the State after it
 	Token int64  `json:"token,omitempty"`
 	Fault string `json:"fault,omitempty"` // one of the Faults; "": done
+	Why   string `json:"why,omitempty"`   // what more there is to say of a Fault
 }
 
 // Faults.
@@ -83,6 +102,7 @@
 // Bounds of a write's fields.
 const (
 	maxText     = 256
+	maxRecord   = 1 << 20
 	maxRemember = 1 << 16 // writes whose answers are kept for repeats
 	epochShift  = 40      // a revision is an epoch and a count in it
 )
@@ -94,11 +114,12 @@
 	members map[string]string
 	answers map[string]Answer // by the writes' ids
 	order   []string          // of those ids
+	agreed
 }
 
 // New returns an empty State, of the first epoch.
 func New() *State {
-	return &State{rev: 1 << epochShift, entries: map[string]*Entry{}, members: map[string]string{}, answers: map[string]Answer{}}
+	return &State{rev: 1 << epochShift, entries: map[string]*Entry{}, members: map[string]string{}, answers: map[string]Answer{}, agreed: newAgreed()}
 }
 
 // Rev is the revision.
@@ -155,11 +176,16 @@
 }
 
 func (s *State) apply(op Op) (Answer, *Entry) {
+	if s.fenced(op.Fence) {
+		return Answer{Fault: Fenced}, nil
+	}
 	switch op.Kind {
 	case Register:
 		return s.register(op)
-	case Update, Remove, Expire, Suspect, Trust:
+	case Update, Remove, Expire, Suspect, Trust, Warm:
 		return s.change(op)
+	case SetLimits, Permit, Begin, Return, Gone, Avoid, Put:
+		return s.agree(op)
 	case Member:
 		if op.Address == "" {
 			delete(s.members, op.UID)
@@ -180,11 +206,18 @@
 		return Answer{Fault: Bad}, nil
 	}
 	e := *op.Entry
-	if old := s.entries[e.UID]; old != nil {
+	old := s.entries[e.UID]
+	if old != nil && op.IfMod == Absent {
+		return Answer{Fault: Conflict}, nil
+	}
+	if lost := s.missing[e.UID]; old == nil && lost != nil && lost.BootMS == e.BootMS {
+		return s.found(lost, e)
+	}
+	if old != nil {
 		if e.BootMS < old.BootMS {
 			return Answer{Fault: Fenced}, nil
 		}
-		e.Token, e.Mod, e.Suspect = old.Token, old.Mod, false
+		e.Token, e.Mod, e.Suspect, e.Cold = old.Token, old.Mod, false, old.Cold
 		if e == *old { // the same process says the same again
 			return Answer{Token: old.Token}, nil
 		}
@@ -192,7 +225,7 @@
 			return Answer{Token: old.Token}, s.put(e)
 		}
 	}
-	e.Token = s.rev + 1
+	e.Token, e.Cold = s.rev+1, s.cold(&e)
 	return Answer{Token: e.Token}, s.put(e)
 }
 
@@ -211,7 +244,13 @@
 	switch op.Kind {
 	case Remove, Expire:
 		e.State = Deleted
-		return Answer{Token: e.Token}, s.put(e)
+		put := s.putIn(e, op.Kind == Remove && op.Token == 0)
+		return Answer{Token: e.Token}, put
+	case Warm:
+		if op.Cold == nil || !(*op.Cold >= 0 && *op.Cold <= e.Cold) {
+			return Answer{Fault: Bad}, nil
+		}
+		e.Cold = *op.Cold
 	case Suspect, Trust:
 		e.Suspect = op.Kind == Suspect
 	case Update:
@@ -232,9 +271,14 @@
 }
 
 // put puts an entry in place, under the next revision.
-func (s *State) put(e Entry) *Entry {
+func (s *State) put(e Entry) *Entry { return s.putIn(e, false) }
+
+// putIn is put; declared: what is taken out will not come back.
+func (s *State) putIn(e Entry, declared bool) *Entry {
 	s.rev++
 	e.Mod = s.rev
+	old := s.entries[e.UID]
+	defer func() { s.settle(old, &e, declared) }()
 	if e.State == Deleted {
 		delete(s.entries, e.UID)
 	} else {
@@ -254,7 +298,9 @@
 		return errors.New("endpoint: missing or too long")
 	case e.State != Serving && e.State != Draining:
 		return fmt.Errorf("state: %q is neither %s nor %s", e.State, Serving, Draining)
-	case len(e.Zone) > maxText || len(e.Region) > maxText || len(e.Kind) > maxText || len(e.Version) > maxText:
+	case e.Role != "" && e.Role != Node && e.Role != Controller:
+		return fmt.Errorf("role: %q is none", e.Role)
+	case len(e.Tier) > maxText || len(e.Zone) > maxText || len(e.Region) > maxText || len(e.Kind) > maxText || len(e.Version) > maxText:
 		return errors.New("a text is too long")
 	case e.Capacity < 0 || e.TTLMS < 0 || e.BootMS < 0:
 		return errors.New("capacity, ttl and boot time cannot be negative")
@@ -271,11 +317,12 @@
 	Members map[string]string `json:"members"`
 	Order   []string          `json:"order"`
 	Answers []Answer          `json:"answers"` // in that order
+	agreedImage
 }
 
 // Snapshot is the State as it can be kept and read again.
 func (s *State) Snapshot() ([]byte, error) {
-	m := image{Rev: s.rev, Entries: s.Entries(), Members: s.members, Order: s.order}
+	m := image{Rev: s.rev, Entries: s.Entries(), Members: s.members, Order: s.order, agreedImage: s.agreedImage()}
 	for _, id := range s.order {
 		m.Answers = append(m.Answers, s.answers[id])
 	}
@@ -305,6 +352,7 @@
 	for i, id := range m.Order {
 		s.answers[id] = m.Answers[i]
 	}
+	s.load(m.agreedImage)
 	return s, nil
 }
 
@@ -314,5 +362,6 @@
 	epoch := max(Epoch(backup.rev), Epoch(running.rev)) + 1
 	s := New()
 	s.rev, s.entries, s.members = epoch<<epochShift, maps.Clone(backup.entries), maps.Clone(running.members)
+	s.restored(backup, running)
 	return s
 }
