fleet: drains and releases by agreement, with controllers, agents and a trial on real processes

Need: a release was a list that changes under the nodes, and two people could drain two zones at once. Change: agree/release (plans, and a machine that any controller can go on with), agree/host (controller with a fenced lease; agent beside a unit, which begins its permit by a write before it acts), umberbank fleet budget, status, drain, undrain, gone, release, halt, resume, back, control, agent, trial. Launcher, relay and process handling moved into internal/procs, below both trials.

Found by the trial and mended: a restore drained units that had come back, and forgot how far a release was.

--- a/cmd/umberbank/main.go
+++ b/cmd/umberbank/main.go
@@ -37,6 +37,7 @@
 	Node     nodeCmd     `cmd:"" help:"Run one node, as bin/cranegrade does."`
 	Lab      labCmd      `cmd:"" help:"Play scenarios on fleets of nodes, with faults."`
 	Registry registryCmd `cmd:"" help:"Run, read and change the registry of servers."`
+	Fleet    fleetCmd    `cmd:"" help:"Take units out and change their version, by agreement."`
 	Config   configCmd   `cmd:"" help:"Look at a node's configuration."`
 	State    stateCmd    `cmd:"" help:"Look at what processes have kept on disk."`
 	Version  versionCmd  `cmd:"" help:"Say which version this is."`
--- a/internal/agree/budget/budget.go
+++ b/internal/agree/budget/budget.go
@@ -19,7 +19,8 @@
 // Unit is one thing that serves: a server, or a node's process.
 type Unit struct {
 	ID       string
-	Start    int64 // which start of it; a later one has a higher number
+	Start    int64   // names its present start
+	Boot     float64 // when that was, by the unit's own word; a later start has a higher one
 	Tier     string
 	Zone     string
 	Region   string
@@ -81,14 +82,15 @@
 
 // Permit lets its holder take one start of one unit out.
 type Permit struct {
-	Unit    string `json:"unit"`
-	Start   int64  `json:"start"`
-	Token   int64  `json:"token"` // names this permit; later ones have higher ones
-	Holder  string `json:"holder"`
-	Plan    string `json:"plan,omitempty"` // the release that it belongs to
-	To      string `json:"to,omitempty"`   // the version that the unit is to come back with
-	Begun   bool   `json:"begun"`          // its holder may have taken the unit out
-	SeenOut bool   `json:"seen_out"`       // and it was
+	Unit    string  `json:"unit"`
+	Start   int64   `json:"start"`
+	Boot    float64 `json:"boot"`  // of that start
+	Token   int64   `json:"token"` // names this permit; later ones have higher ones
+	Holder  string  `json:"holder"`
+	Plan    string  `json:"plan,omitempty"` // the release that it belongs to
+	To      string  `json:"to,omitempty"`   // the version that the unit is to come back with
+	Begun   bool    `json:"begun"`          // its holder may have taken the unit out
+	SeenOut bool    `json:"seen_out"`       // and it was
 }
 
 // scope is a part of a fleet that a limit holds for.
@@ -121,9 +123,6 @@
 	units   map[string]*Unit
 	permits map[string]*Permit
 	sums    map[scope]*sum
-
-	// Forgetful has it forget, wrongly, units that nobody hears from: a judge is proven with it.
-	Forgetful bool
 }
 
 // New returns an empty Ledger without limits.
@@ -171,16 +170,12 @@
 // Set notes a unit as it is now, and gives the permit that this ends, if any: its unit was seen out, or has started
 // anew, and is whole again.
 func (l *Ledger) Set(u Unit) (freed *Permit) {
-	if l.Forgetful && u.Why == Missing {
-		l.Gone(u.ID)
-		return nil
-	}
 	if old := l.units[u.ID]; old != nil {
 		l.count(old, -1)
 	}
 	u.Out = min(max(u.Out, 0), 1)
 	if p := l.permits[u.ID]; p != nil {
-		moved := u.Start > p.Start // an earlier one is what a backup knows
+		moved := u.Boot > p.Boot // an earlier one is what a backup knows
 		if p.Begun && (u.Out > 0 || moved) {
 			p.SeenOut = true
 		}
@@ -221,7 +216,7 @@
 	}
 	if has := l.permits[p.Unit]; has != nil {
 		if over != "" && has.Plan == over && has.Begun {
-			p.Begun, p.SeenOut = true, has.SeenOut
+			p.Boot, p.Begun, p.SeenOut = u.Boot, true, has.SeenOut
 			l.permits[p.Unit] = &p
 			return &p, nil
 		}
@@ -234,7 +229,7 @@
 		return nil, err
 	}
 	l.count(u, -1)
-	p.Begun, p.SeenOut = false, false
+	p.Boot, p.Begun, p.SeenOut = u.Boot, false, false
 	l.permits[p.Unit] = &p
 	l.count(u, 1)
 	return &p, nil
--- /dev/null
+++ b/internal/agree/host/agent.go
@@ -0,0 +1,277 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/google/renameio/v2"
+
+	"hollyspur/internal/agree/budget"
+	"hollyspur/internal/registry/client"
+	"hollyspur/internal/registry/state"
+)
+
+// Agent stands beside one unit: it starts its process, holds its lease for as long as the process runs, and changes its
+// version when there is a permit for that.
+type Agent struct {
+	Registry []string
+	Entry    state.Entry // of the unit; its BootMS, and its Version after a change, are the agent's to say
+	TTL      time.Duration
+	Command  []string      // of the process, with {version} in place of its version; none: the agent is the unit itself
+	Ready    string        // a URL that answers 200 once the process serves; "": when it has run for half a second
+	Drain    time.Duration // from when nodes are told until the process is asked to end
+	Grace    time.Duration // from then until it is killed
+	Keep     string        // a file that remembers the version over the agent's own restarts; "": Entry.Version holds at each
+	Journal  *Journal
+	Log      *slog.Logger
+	Wall     func() time.Time // nil: the system's clock
+
+	writer *client.Writer
+	holder *client.Holder
+	cmd    *exec.Cmd
+	ended  chan error         // of cmd
+	up     bool               // the process runs, or this is the unit itself
+	stop   context.CancelFunc // of its lease; nil: it has none
+}
+
+// readyWithin is how long a process may take to serve, and startRest how long the agent waits after one that did not.
+const (
+	readyWithin = 10 * time.Second
+	startRest   = time.Second
+	pollWait    = time.Second
+)
+
+// Run keeps the unit running until ctx ends, and takes it out of the registry then. It ends with client.ErrFenced when
+// another agent has started the same unit.
+func (a *Agent) Run(ctx context.Context) (err error) {
+	if a.Wall == nil {
+		a.Wall = time.Now
+	}
+	if a.writer, err = client.NewWriter(client.Options{Endpoints: a.Registry, RestMost: 300 * time.Millisecond}); err != nil {
+		return err
+	}
+	a.Entry.TTLMS = a.TTL.Milliseconds()
+	if a.Keep != "" {
+		text, err := os.ReadFile(a.Keep)
+		switch {
+		case err == nil && len(text) > 0:
+			a.Entry.Version = string(text)
+		case err != nil && !errors.Is(err, os.ErrNotExist):
+			return err
+		}
+	}
+	defer a.end()
+	var rev int64
+	for ctx.Err() == nil {
+		if err := a.keep(ctx); errors.Is(err, client.ErrFenced) {
+			return err
+		} else if err != nil && ctx.Err() == nil {
+			a.Log.Warn("the unit does not serve", "unit", a.Entry.UID, "version", a.Entry.Version, "error", err)
+			pause(ctx, startRest)
+		}
+		seen, err := agreed(ctx, a.writer, url.Values{"unit": {a.Entry.UID}}, rev, pollWait)
+		if err != nil {
+			rev = 0
+			continue
+		}
+		rev = seen.Rev
+		if len(seen.Permits) == 1 {
+			a.follow(ctx, seen.Permits[0])
+		}
+	}
+	if a.stop == nil {
+		return nil
+	}
+	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), callWithin)
+	defer cancel()
+	_, err = a.writer.Write(leaving, state.Op{Kind: state.Remove, UID: a.Entry.UID, Token: a.holder.Token(a.Entry.UID)})
+	return err
+}
+
+// keep starts the process if it does not run, and registers the unit if it is not.
+func (a *Agent) keep(ctx context.Context) error {
+	if a.up {
+		select {
+		case err := <-a.ended:
+			a.Log.Warn("the process has ended", "unit", a.Entry.UID, "error", err)
+			a.cmd = nil
+			a.end()
+		default:
+		}
+	}
+	if !a.up {
+		if err := a.start(ctx); err != nil {
+			return err
+		}
+	}
+	if a.stop == nil {
+		return a.register(ctx)
+	}
+	if a.holder.Token(a.Entry.UID) == 0 {
+		return client.ErrFenced
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// follow changes the unit's version if a permit says so. The permit is begun by a write first: whoever is cut off, comes late,
+// or has been halted meanwhile changes nothing.
+func (a *Agent) follow(ctx context.Context, p *budget.Permit) {
+	if p.To == "" || p.To == a.Entry.Version {
+		return
+	}
+	sent := Now()
+	answer, err := one(ctx, a.writer, state.Op{Kind: state.Begin, UID: p.Unit, Token: p.Token})
+	if err != nil || answer.Fault != "" {
+		return // another look tells more
+	}
+	a.note(Event{What: "out", Plan: p.Plan, Token: p.Token, Version: p.To, Sent: sent})
+	a.Log.Info("changes version", "unit", a.Entry.UID, "from", a.Entry.Version, "to", p.To)
+	if a.up {
+		pause(ctx, a.Drain)
+	}
+	a.end()
+	a.Entry.Version = p.To
+	if a.Keep != "" {
+		if err := renameio.WriteFile(a.Keep, []byte(p.To), 0o600); err != nil {
+			a.Log.Error("the version is not remembered", "unit", a.Entry.UID, "error", err)
+		}
+	}
+}
+
+// start starts the process.
+func (a *Agent) start(ctx context.Context) error {
+	a.ended = make(chan error, 1)
+	if len(a.Command) > 0 {
+		args := make([]string, len(a.Command))
+		for i, arg := range a.Command {
+			args[i] = strings.ReplaceAll(arg, "{version}", a.Entry.Version)
+		}
+		cmd := exec.Command(args[0], args[1:]...)
+		cmd.Stdout, cmd.Stderr = os.Stderr, os.Stderr
+		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+		if err := cmd.Start(); err != nil {
+			return err
+		}
+		ended := a.ended
+		go func() { ended <- cmd.Wait() }()
+		a.cmd = cmd
+		if err := a.ready(ctx); err != nil {
+			a.end()
+			return err
+		}
+	}
+	a.up = true
+	a.Entry.BootMS = 0
+	a.note(Event{What: "up", Version: a.Entry.Version})
+	return nil
+}
+
+// register enters the unit's start, and holds its lease from then on.
+func (a *Agent) register(ctx context.Context) error {
+	if a.Entry.BootMS == 0 {
+		// A clock that was set back must not make this start look older than the one before it.
+		known, err := agreed(ctx, a.writer, url.Values{"unit": {a.Entry.UID}, "consistent": {"1"}}, 0, 0)
+		if err != nil {
+			return err
+		}
+		a.Entry.BootMS = float64(a.Wall().UnixMilli())
+		for _, e := range known.Units {
+			a.Entry.BootMS = max(a.Entry.BootMS, e.BootMS+1)
+		}
+	}
+	a.Entry.State = state.Serving
+	entry := a.Entry
+	a.holder = client.NewHolder(a.writer)
+	holding, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	if err := a.holder.Hold(holding, &entry); err != nil {
+		return err
+	}
+	running, stop := context.WithCancel(ctx)
+	a.stop = stop
+	go a.holder.Run(running, a.TTL)
+	return nil
+}
+
+// note writes an event of this unit down.
+func (a *Agent) note(e Event) {
+	e.Who, e.Unit = a.Entry.UID, a.Entry.UID
+	if err := a.Journal.note(e); err != nil {
+		a.Log.Error("journal", "error", err)
+	}
+}
+
+// ready waits until the process serves.
+func (a *Agent) ready(ctx context.Context) error {
+	if a.Ready == "" {
+		select {
+		case err := <-a.ended:
+			a.cmd = nil
+			return fmt.Errorf("the process ended at once: %v", err)
+		case <-time.After(startRest / 2):
+			return nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, a.Ready, nil)
+		if err != nil {
+			return err
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case err := <-a.ended:
+			a.cmd = nil
+			return fmt.Errorf("the process ended before it served: %v", err)
+		case <-ctx.Done():
+			return fmt.Errorf("%s does not answer 200: %w", a.Ready, ctx.Err())
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// end stops the process and lets its lease go.
+func (a *Agent) end() {
+	if a.stop != nil {
+		a.stop()
+		a.stop = nil
+	}
+	if a.up {
+		a.up = false
+		a.note(Event{What: "down", Version: a.Entry.Version})
+	}
+	if a.cmd == nil {
+		return
+	}
+	a.cmd.Process.Signal(syscall.SIGTERM) // one that has ended needs none
+	select {
+	case <-a.ended:
+	case <-time.After(a.Grace):
+		a.cmd.Process.Kill()
+		<-a.ended
+	}
+	a.cmd = nil
+}
--- /dev/null
+++ b/internal/agree/host/control.go
@@ -0,0 +1,140 @@
+package host
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"time"
+
+	"hollyspur/internal/agree/release"
+	"hollyspur/internal/registry/client"
+	"hollyspur/internal/registry/replica"
+	"hollyspur/internal/registry/state"
+)
+
+// Lead is the uid of the entry that the controller holds that acts.
+const Lead = "controller"
+
+// Controller carries releases out while it holds the lead. Any number may run.
+type Controller struct {
+	Registry []string
+	Name     string
+	TTL      time.Duration // of the lead's lease
+	Journal  *Journal
+	Log      *slog.Logger
+	Done     func(a *replica.Agreed) bool // looks at each view; true: Run returns. nil: never
+
+	// Ignorant has it act, wrongly, whether it holds the lead or not: a judge is proven with it.
+	Ignorant bool
+
+	writer  *client.Writer
+	token   int64 // of the lead; 0: another has it, or nobody
+	machine release.Machine
+}
+
+// look is how often a controller looks when nothing changes.
+const look = 200 * time.Millisecond
+
+// Run acts until ctx ends.
+func (c *Controller) Run(ctx context.Context) (err error) {
+	if c.writer, err = client.NewWriter(client.Options{Endpoints: c.Registry, RestMost: 300 * time.Millisecond}); err != nil {
+		return err
+	}
+	c.machine.Holder = c.Name
+	var rev int64
+	var renewed time.Time
+	began := time.Now()
+	for ctx.Err() == nil {
+		v, err := agreed(ctx, c.writer, url.Values{"units": {"1"}, "lead": {Lead}}, rev, look)
+		if err != nil {
+			rev = 0
+			continue
+		}
+		rev = v.Rev
+		if c.Done != nil && c.Done(v) {
+			break
+		}
+		switch {
+		case c.token != 0 && time.Since(renewed) > c.TTL/3:
+			asked := time.Now()
+			if c.renew(ctx) {
+				renewed = asked
+			}
+		case c.token == 0 && v.Lead == nil:
+			asked := time.Now()
+			c.take(ctx)
+			renewed = asked
+		}
+		if c.token != 0 || c.Ignorant {
+			c.act(ctx, v, time.Since(began))
+		}
+	}
+	if c.token != 0 {
+		leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), callWithin)
+		defer cancel()
+		c.writer.Write(leaving, state.Op{Kind: state.Remove, UID: Lead, Token: c.token}) // else its lease ends
+	}
+	return nil
+}
+
+// take asks for the lead.
+func (c *Controller) take(ctx context.Context) {
+	e := &state.Entry{UID: Lead, Endpoint: c.Name, State: state.Serving, Role: state.Controller, TTLMS: c.TTL.Milliseconds()}
+	a, err := one(ctx, c.writer, state.Op{Kind: state.Register, Entry: e, IfMod: state.Absent})
+	if err == nil && a.Fault == "" {
+		c.token = a.Token
+		c.Log.Info("leads", "controller", c.Name, "token", a.Token)
+	}
+}
+
+// renew renews the lead's lease; false: that could not be asked. A lead that was lost is given up.
+func (c *Controller) renew(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, c.TTL)
+	defer cancel()
+	var got struct {
+		Unknown []string `json:"unknown"`
+	}
+	err := c.writer.Call(ctx, http.MethodPost, "/registry/renew", map[string]any{"leases": []replica.Lease{{UID: Lead, Token: c.token}}}, &got)
+	if err == nil && len(got.Unknown) > 0 {
+		c.lost()
+	}
+	return err == nil
+}
+
+func (c *Controller) lost() {
+	c.Log.Info("leads no more", "controller", c.Name, "token", c.token)
+	c.token = 0
+}
+
+// act carries the machine's orders out. Each is fenced by the lead, so that one that comes late comes to nothing; after the
+// first that does not go through the rest waits for the next look.
+func (c *Controller) act(ctx context.Context, v *replica.Agreed, now time.Duration) {
+	orders := c.machine.Next(release.View{Units: v.Units, Outs: v.Outs, Permits: v.Permits, Records: v.Records}, now)
+	for _, o := range orders {
+		o.Fence = &state.Fence{UID: Lead, Token: c.token}
+		if c.Ignorant {
+			o.Fence = nil
+		}
+		sent := Now()
+		a, err := one(ctx, c.writer, o.Op)
+		if err != nil {
+			return
+		}
+		switch a.Fault {
+		case "":
+		case state.Fenced:
+			c.lost()
+			return
+		default:
+			return // over the budget, or another look tells more
+		}
+		c.machine.Granted(o)
+		if err := c.Journal.note(Event{Who: c.Name, What: "act", Unit: o.UID, Plan: o.Plan, Token: c.token, Sent: sent, Why: o.Why}); err != nil {
+			c.Log.Error("journal", "error", err)
+		}
+		if o.Why != "" {
+			c.Log.Info("acts", "controller", c.Name, "kind", o.Kind, "why", o.Why)
+		}
+	}
+}
--- /dev/null
+++ b/internal/agree/host/host.go
@@ -0,0 +1,107 @@
+// Package host runs what is agreed: the agent beside a unit, which takes it out and brings it back when there is a permit
+// for it, and controllers, of which one at a time carries releases out. Both hold no state that matters: it is all in
+// the registry, and a process that is killed at any line is followed by another that goes on.
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"hollyspur/internal/registry/client"
+	"hollyspur/internal/registry/replica"
+	"hollyspur/internal/registry/state"
+)
+
+// agreed asks what is agreed, later than a revision if that comes within wait.
+func agreed(ctx context.Context, w *client.Writer, query url.Values, after int64, wait time.Duration) (*replica.Agreed, error) {
+	query.Set("after", strconv.FormatInt(after, 10))
+	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	ctx, cancel := context.WithTimeout(ctx, wait+callWithin)
+	defer cancel()
+	var a replica.Agreed
+	return &a, w.Call(ctx, "GET", "/registry/agreed?"+query.Encode(), nil, &a)
+}
+
+// Agreed asks for all that is agreed, with all units, as of when it was called.
+func Agreed(ctx context.Context, w *client.Writer) (*replica.Agreed, error) {
+	var a replica.Agreed
+	return &a, w.Call(ctx, "GET", "/registry/agreed?consistent=1&units=1&lead="+Lead, nil, &a)
+}
+
+// callWithin is how long a call may take before another is made.
+const callWithin = time.Second
+
+// one has one write carried out.
+func one(ctx context.Context, w *client.Writer, op state.Op) (state.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, callWithin)
+	defer cancel()
+	a, err := w.Write(ctx, op)
+	if err != nil {
+		return state.Answer{}, err
+	}
+	return a[0], nil
+}
+
+// Event is something that a process did, as it says itself. An outside judge reads them.
+type Event struct {
+	At      time.Duration `json:"at_ns"` // on the machine's monotonic clock, the same for all its processes
+	Who     string        `json:"who"`
+	What    string        `json:"what"`
+	Unit    string        `json:"unit,omitempty"`
+	Version string        `json:"version,omitempty"`
+	Plan    string        `json:"plan,omitempty"`
+	Token   int64         `json:"token,omitempty"`
+	Sent    time.Duration `json:"sent_ns,omitempty"` // when the write was sent that allowed it
+	Why     string        `json:"why,omitempty"`
+}
+
+// Now is the machine's monotonic clock.
+func Now() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &t); err != nil {
+		panic(err) // the clock exists on every Linux
+	}
+	return time.Duration(t.Nano())
+}
+
+// Journal appends events to a file, a line each; nil: nowhere.
+type Journal struct {
+	mu   sync.Mutex
+	file *os.File
+}
+
+// OpenJournal opens a file to append to.
+func OpenJournal(path string) (*Journal, error) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	return &Journal{file: f}, nil
+}
+
+func (j *Journal) note(e Event) error {
+	if j == nil {
+		return nil
+	}
+	if e.At == 0 {
+		e.At = Now()
+	}
+	text, err := json.Marshal(e)
+	if err != nil {
+		return err
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if _, err := j.file.Write(append(text, '\n')); err != nil {
+		return fmt.Errorf("%s: %w", j.file.Name(), err)
+	}
+	return nil
+}
--- a/internal/agree/release/machine.go
+++ b/internal/agree/release/machine.go
@@ -83,6 +83,12 @@
 	return ""
 }
 
+// ProgressOf is how far a release has come.
+func ProgressOf(v View, name string) (p Progress) {
+	record(v, ProgressPrefix+name, &p)
+	return p
+}
+
 // HaltOp halts a release.
 func HaltOp(name, why string) state.Op {
 	value, _ := json.Marshal(map[string]string{"why": why}) // of strings: it cannot fail
--- a/internal/lab/cost/cost.go
+++ b/internal/lab/cost/cost.go
@@ -21,7 +21,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"hollyspur/internal/lab/launch"
+	"hollyspur/internal/procs"
 )
 
 // Options say how the cost is measured.
@@ -102,7 +102,7 @@
 		return nil, err
 	}
 	defer os.RemoveAll(dir)
-	by := launch.New()
+	by := procs.New()
 	defer by.Close()
 	node, err := startNode(ctx, by, o.Node, dir, addrs)
 	if err != nil {
@@ -166,7 +166,7 @@
 func (p *process) at(int) string { return p.addr }
 
 // start runs a command with one core, and waits until it says that it is ready.
-func start(ctx context.Context, by *launch.Launcher, command []string, env []string, dir, name, addr string) (*process, error) {
+func start(ctx context.Context, by *procs.Launcher, command []string, env []string, dir, name, addr string) (*process, error) {
 	p := &process{addr: addr, stats: filepath.Join(dir, name+".stats"), log: filepath.Join(dir, name+".log")}
 	log, err := os.Create(p.log)
 	if err != nil {
@@ -332,7 +332,7 @@
 }
 
 // startNode starts a node before the servers. Its discovery does not answer: the list that it starts with holds.
-func startNode(ctx context.Context, by *launch.Launcher, command []string, dir string, addrs []string) (*process, error) {
+func startNode(ctx context.Context, by *procs.Launcher, command []string, dir string, addrs []string) (*process, error) {
 	if len(command) == 0 {
 		self, err := os.Executable()
 		if err != nil {
@@ -364,7 +364,7 @@
 	return start(ctx, by, command, []string{"ROUTER_CONFIG=" + path}, dir, "node", addr)
 }
 
-func startRelay(ctx context.Context, by *launch.Launcher, command []string, dir string, addrs []string) (*process, error) {
+func startRelay(ctx context.Context, by *procs.Launcher, command []string, dir string, addrs []string) (*process, error) {
 	if len(command) == 0 {
 		self, err := os.Executable()
 		if err != nil {
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -19,9 +19,9 @@
 	"time"
 
 	"hollyspur/internal/lab/fault"
-	"hollyspur/internal/lab/launch"
 	"hollyspur/internal/lab/model"
-	"hollyspur/internal/lab/relay"
+	"hollyspur/internal/procs"
+	"hollyspur/internal/procs/relay"
 )
 
 // Observer hears what only the real fleet can tell, besides what the model tells.
@@ -59,7 +59,7 @@
 	servers  []*http.Server
 	calls    map[string]*model.Call // in hand; the loop's
 	registry *registry              // nil: discovery is the model's
-	launch   *launch.Launcher
+	launch   *procs.Launcher
 	running  sync.WaitGroup
 }
 
@@ -113,7 +113,7 @@
 	if f.dir, err = os.MkdirTemp("", "umberbank-lab-"); err != nil {
 		return f, err
 	}
-	f.launch = launch.New()
+	f.launch = procs.New()
 	touched := map[[2]int]bool{}
 	fault.Links(opt.Events, w.Site, func(node, server int) { touched[[2]int{node, server}] = true })
 	if err = f.startServers(touched); err != nil {
--- a/internal/lab/fleet/registry.go
+++ b/internal/lab/fleet/registry.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"hollyspur/internal/lab/model"
-	"hollyspur/internal/lab/relay"
+	"hollyspur/internal/procs/relay"
 	"hollyspur/internal/registry/client"
 	"hollyspur/internal/registry/cluster"
 	"hollyspur/internal/registry/state"
--- a/internal/lab/fleet/server.go
+++ b/internal/lab/fleet/server.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"hollyspur/internal/lab/model"
-	"hollyspur/internal/lab/relay"
+	"hollyspur/internal/procs/relay"
 )
 
 // endpoint is one link's end at its server.
--- a/internal/lab/launch/launch.go
+++ b/internal/procs/launch.go
@@ -1,5 +1,6 @@
-// Package launch starts processes that die with this one, however that ends.
-package launch
+// Package procs starts processes that die with this one, however that ends, and plays with them what befalls processes. Its
+// package relay does so with their links. Trials of all kinds stand on both.
+package procs
 
 import (
 	"os/exec"
--- a/internal/registry/client/client.go
+++ b/internal/registry/client/client.go
@@ -384,6 +384,13 @@
 	return err
 }
 
+// Token is what an entry is held by; 0: it is not held.
+func (h *Holder) Token(uid string) int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.tokens[uid]
+}
+
 // Renew renews all leases once. What the registry does not know is registered again.
 func (h *Holder) Renew(ctx context.Context) error {
 	type lease struct {
--- a/internal/registry/cluster/cluster.go
+++ b/internal/registry/cluster/cluster.go
@@ -8,37 +8,29 @@
 	"math/rand/v2"
 	"net"
 	"os"
-	"os/exec"
 	"path/filepath"
-	"strings"
-	"sync"
 	"syscall"
 	"time"
 
 	"github.com/google/renameio/v2"
 
-	"hollyspur/internal/lab/launch"
-	"hollyspur/internal/lab/relay"
+	"hollyspur/internal/procs"
+	"hollyspur/internal/procs/relay"
 	"hollyspur/internal/registry/client"
 	"hollyspur/internal/registry/replica"
 )
 
 // Cluster is the processes, and the relays from each to each.
 type Cluster struct {
-	command []string
-	dir     string
-	launch  *launch.Launcher
-	nodes   []*member
-	links   map[[2]int]*relay.Relay
+	dir    string
+	launch *procs.Launcher
+	nodes  []*member
+	links  map[[2]int]*relay.Relay
 }
 
 type member struct {
+	procs.Process
 	id, raft, address, config string
-
-	mu      sync.Mutex
-	command []string  // its own; nil: the cluster's
-	cmd     *exec.Cmd // nil: it does not run
-	ended   chan struct{}
 }
 
 // defaultTick is short, so that elections are.
@@ -62,7 +54,7 @@
 	if len(command) == 0 {
 		return nil, errors.New("no command of a replica")
 	}
-	c = &Cluster{command: command, launch: launch.New(), links: map[[2]int]*relay.Relay{}}
+	c = &Cluster{launch: procs.New(), links: map[[2]int]*relay.Relay{}}
 	defer func() {
 		if err != nil {
 			c.Close()
@@ -73,6 +65,8 @@
 	}
 	for i := range replicas {
 		m := &member{id: fmt.Sprintf("r%d", i), config: filepath.Join(c.dir, fmt.Sprintf("r%d.toml", i))}
+		m.Launcher, m.Args, m.Log = c.launch, []string{"--config", m.config}, filepath.Join(c.dir, m.id+".log")
+		m.SetCommand(command)
 		for _, addr := range []*string{&m.raft, &m.address} {
 			if *addr, err = Free(); err != nil {
 				return c, err
@@ -117,57 +111,13 @@
 }
 
 // Start starts a replica that does not run.
-func (c *Cluster) Start(i int) error {
-	m := c.nodes[i]
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.cmd != nil {
-		return nil
-	}
-	log, err := os.OpenFile(filepath.Join(c.dir, m.id+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
-	defer log.Close()
-	command := c.command
-	if m.command != nil {
-		command = m.command
-	}
-	cmd := exec.Command(command[0], append(command[1:len(command):len(command)], "--config", m.config)...)
-	cmd.Stdout, cmd.Stderr = log, log
-	if err := c.launch.Start(cmd); err != nil {
-		return err
-	}
-	ended := make(chan struct{})
-	m.cmd, m.ended = cmd, ended
-	go func() {
-		cmd.Wait() // killed, or ended by itself: nothing is served then, which the run shows
-		close(ended)
-	}()
-	return nil
-}
+func (c *Cluster) Start(i int) error { return c.nodes[i].Start() }
 
 // Kill kills a replica, as a crash does.
-func (c *Cluster) Kill(i int) {
-	m := c.nodes[i]
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.cmd != nil {
-		m.cmd.Process.Kill()
-		<-m.ended
-		m.cmd = nil
-	}
-}
+func (c *Cluster) Kill(i int) { c.nodes[i].Kill() }
 
 // Signal gives a replica that runs a signal.
-func (c *Cluster) Signal(i int, s syscall.Signal) {
-	m := c.nodes[i]
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.cmd != nil {
-		m.cmd.Process.Signal(s)
-	}
-}
+func (c *Cluster) Signal(i int, s syscall.Signal) { c.nodes[i].Signal(s) }
 
 // SlowDisk makes each sync of a replica's log wait from now on; 0: as it was.
 func (c *Cluster) SlowDisk(i int, wait time.Duration) error {
@@ -177,24 +127,10 @@
 func (c *Cluster) syncWait(i int) string { return filepath.Join(c.dir, c.nodes[i].id+".sync") }
 
 // Ended is closed when the process that a replica runs as has ended; nil: it does not run.
-func (c *Cluster) Ended(i int) <-chan struct{} {
-	m := c.nodes[i]
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.cmd == nil {
-		return nil
-	}
-	return m.ended
-}
+func (c *Cluster) Ended(i int) <-chan struct{} { return c.nodes[i].Ended() }
 
 // Logs is the end of what a replica wrote.
-func (c *Cluster) Logs(i int) string {
-	text, err := os.ReadFile(filepath.Join(c.dir, c.nodes[i].id+".log"))
-	if err != nil {
-		return err.Error()
-	}
-	return strings.TrimSpace(string(text[max(0, len(text)-800):]))
-}
+func (c *Cluster) Logs(i int) string { return c.nodes[i].Logs() }
 
 // Addresses are where writers and readers call.
 func (c *Cluster) Addresses() []string {
@@ -206,12 +142,7 @@
 }
 
 // Command gives a replica a command of its own from its next start on.
-func (c *Cluster) Command(i int, command []string) {
-	m := c.nodes[i]
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.command = command
-}
+func (c *Cluster) Command(i int, command []string) { c.nodes[i].SetCommand(command) }
 
 // Len is how many replicas there are, and Name one's id.
 func (c *Cluster) Len() int { return len(c.nodes) }
@@ -223,15 +154,7 @@
 func (c *Cluster) Dir(i int) string { return filepath.Join(c.dir, c.nodes[i].id) }
 
 // Pid is a replica's process; 0: it does not run.
-func (c *Cluster) Pid(i int) int {
-	m := c.nodes[i]
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.cmd == nil {
-		return 0
-	}
-	return m.cmd.Process.Pid
-}
+func (c *Cluster) Pid(i int) int { return c.nodes[i].Pid() }
 
 // Links calls f with the relay from each replica to each.
 func (c *Cluster) Links(f func(from, to int, r *relay.Relay)) {
--- a/internal/registry/replica/api.go
+++ b/internal/registry/replica/api.go
@@ -239,6 +239,9 @@
 	Lead    *state.Entry     `json:"lead,omitempty"`  // who acts, where a lead is asked for
 }
 
+// staleMost is how old what is agreed may be that a replica tells.
+const staleMost = 2 * time.Second
+
 // maxWait is the longest that a call for what is agreed waits for a change.
 const maxWait = 10 * time.Second
 
@@ -265,6 +268,10 @@
 		}
 		r.await(q, rev+1, min(time.Duration(ms)*time.Millisecond, maxWait))
 	}
+	if r.staleness() > staleMost {
+		reply(w, nil, errors.New("this replica has lost its leader"))
+		return
+	}
 	var a Agreed
 	var text []byte
 	var err error
--- a/internal/registry/state/agree.go
+++ b/internal/registry/state/agree.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"maps"
@@ -259,7 +260,7 @@
 	if e.Tier == "" || e.Role == Controller {
 		return
 	}
-	u := budget.Unit{ID: e.UID, Start: e.Token, Tier: e.Tier, Zone: e.Zone, Region: e.Region, Rack: e.Rack, Capacity: e.Capacity}
+	u := budget.Unit{ID: e.UID, Start: e.Token, Boot: e.BootMS, Tier: e.Tier, Zone: e.Zone, Region: e.Region, Rack: e.Rack, Capacity: e.Capacity}
 	switch {
 	case s.missing[e.UID] != nil:
 		u.Out, u.Why = 1, budget.Missing
@@ -313,16 +314,27 @@
 	}
 }
 
-// found takes back an entry that was missing, in the same start of the same process. One that was taken out by a permit
-// is still being taken out, whatever it says.
+// found takes back an entry that was missing, in the same start of the same process.
 func (s *State) found(lost *Entry, e Entry) (Answer, *Entry) {
 	e.Token, e.Cold = lost.Token, lost.Cold
-	if p := s.ledger.Permit(e.UID); p != nil && p.Begun && p.Start == e.Token && e.Role == "" {
-		e.State = Draining
-	}
 	return Answer{Token: e.Token}, s.put(e)
 }
 
+// taken says that an entry's start was taken out by a permit: until it starts anew it drains, whatever it says itself.
+func (s *State) taken(e *Entry) bool {
+	p := s.ledger.Permit(e.UID)
+	return p != nil && p.Begun && p.Boot == e.BootMS && e.Role == ""
+}
+
+// changing says that a release is changing a unit: it cannot be told to serve until that is over.
+func (s *State) changing(uid string) (plan string, is bool) {
+	p := s.ledger.Permit(uid)
+	if p == nil || !p.Begun || p.To == "" {
+		return "", false
+	}
+	return p.Plan, true
+}
+
 // cold is how cold an entry is that has just started.
 func (s *State) cold(e *Entry) float64 {
 	if s.limits == nil || s.limits.WarmMS == 0 || e.BootMS == 0 {
@@ -378,12 +390,16 @@
 	}
 	for _, p := range m.Permits {
 		s.ledger.Restore(*p)
+		if e := cmp.Or(s.entries[p.Unit], s.missing[p.Unit]); e != nil {
+			s.note(e) // which ends a permit that a later start has outlived
+		}
 	}
 }
 
 // restored puts in place what is agreed when a backup takes the place of a running State. What is out does not come
 // back by a restore, so the permits and the missing of the running one stay, and the backup's beside them where it
-// alone knows the unit; so do halts, which nobody has lifted.
+// alone knows the unit. So it is with records: the running one's win, and a halt that was lifted since the backup stands
+// again.
 func (s *State) restored(backup, running *State) {
 	m := backup.agreedImage()
 	m.Avoids = nil
@@ -399,16 +415,12 @@
 		kept := *p
 		kept.SeenOut = false // in the new epoch, not yet
 		m.Permits = append(m.Permits, &kept)
-		if e := s.entries[p.Unit]; e != nil && p.Begun && e.Role == "" {
+		if e := s.entries[p.Unit]; e != nil && p.Begun && p.Boot >= e.BootMS && e.Role == "" {
 			drained := *e
 			drained.State, drained.Mod = Draining, s.rev
 			s.entries[p.Unit] = &drained
 		}
 	}
-	for _, r := range running.Records(HaltPrefix) {
-		if backup.records[r.Key] == nil {
-			m.Records = append(m.Records, r)
-		}
-	}
+	m.Records = append(m.Records, running.Records("")...)
 	s.load(m)
 }
--- a/internal/registry/state/state.go
+++ b/internal/registry/state/state.go
@@ -206,6 +206,9 @@
 		return Answer{Fault: Bad}, nil
 	}
 	e := *op.Entry
+	if s.taken(&e) {
+		e.State = Draining
+	}
 	old := s.entries[e.UID]
 	if old != nil && op.IfMod == Absent {
 		return Answer{Fault: Conflict}, nil
@@ -254,6 +257,9 @@
 	case Suspect, Trust:
 		e.Suspect = op.Kind == Suspect
 	case Update:
+		if plan, is := s.changing(op.UID); is && op.State == Serving {
+			return Answer{Fault: Conflict, Why: "release " + plan + " is changing it"}, nil
+		}
 		if op.State != "" {
 			e.State = op.State
 		}
--- a/internal/registry/trial/trial.go
+++ b/internal/registry/trial/trial.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"hollyspur/internal/lab/relay"
+	"hollyspur/internal/procs/relay"
 	"hollyspur/internal/registry/client"
 	"hollyspur/internal/registry/cluster"
 	"hollyspur/internal/registry/state"
