fleet trial: its judge is proven by wrong processes; a release taken back before it began lets units serve

Cause of the second: a unit that was drained for a release and had not started anew when that was taken back kept a permit that asked for the version it ran; its agent had nothing to do, and nobody else may let it serve. Change: its agent, and no one else, may then let it serve.

Tests: ignorant controllers, one that has the dead forgotten and one that drains without permits are each named by the judge; the right processes with the same deaths are not.

--- /dev/null
+++ b/cmd/umberbank/fleet_test.go
@@ -0,0 +1,208 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"hollyspur/internal/agree/host"
+	"hollyspur/internal/agree/trial"
+	"hollyspur/internal/registry/client"
+	"hollyspur/internal/registry/cluster"
+	"hollyspur/internal/registry/replica"
+	"hollyspur/internal/registry/state"
+)
+
+// The test binary is the program's processes too, or a wrong one.
+func TestMain(m *testing.M) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	switch os.Getenv("UMBERBANK_TEST") {
+	case "":
+		os.Exit(m.Run())
+	case "program":
+		os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+	case "reaper":
+		wrong(ctx, func(w *client.Writer, v *replica.Agreed) {
+			for _, o := range v.Outs {
+				if o.Why == "missing" { // the dead shall count no more
+					w.Write(ctx, state.Op{Kind: state.Gone, UID: o.Unit})
+				}
+			}
+		})
+	case "reckless":
+		wrong(ctx, func(w *client.Writer, v *replica.Agreed) {
+			for _, u := range v.Units {
+				if u.Tier == "web" && u.State == state.Serving {
+					a, err := w.Write(ctx, state.Op{Kind: state.Update, UID: u.UID, State: state.Draining})
+					if err == nil && a[0].Fault == "" {
+						f, _ := os.OpenFile(os.Args[2], os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+						json.NewEncoder(f).Encode(host.Event{At: host.Now(), What: "drained", Unit: u.UID})
+						f.Close()
+					}
+				}
+			}
+		})
+	}
+	stop()
+}
+
+// wrong is a process that does what none may, again and again.
+func wrong(ctx context.Context, do func(*client.Writer, *replica.Agreed)) {
+	w, err := client.NewWriter(client.Options{Endpoints: strings.Split(os.Args[1], ",")})
+	if err != nil {
+		panic(err)
+	}
+	for ; ctx.Err() == nil; time.Sleep(50 * time.Millisecond) {
+		if v, err := host.Agreed(ctx, w); err == nil {
+			do(w, v)
+		}
+	}
+}
+
+// as is the command of this binary in a mode.
+func as(t *testing.T, mode string) []string {
+	t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return []string{"/usr/bin/env", "UMBERBANK_TEST=" + mode, self}
+}
+
+// A release, drains and faults on a site of real processes: what is agreed holds, and in the end every unit runs what it
+// should.
+func TestFleetTrial(t *testing.T) {
+	t.Parallel()
+	r, err := trial.Run(t.Context(), trial.Options{Seed: 5, For: 3 * time.Second, Program: as(t, "program")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(r.Broken) > 0 || r.Acts == 0 {
+		t.Errorf("%+v", r)
+	}
+}
+
+// The judge names what wrong processes did: controllers that act without the lead, one that has the dead forgotten, one
+// that drains without a permit. Where the dead are not forgotten they are counted, and it names nothing.
+func TestFleetTrialIsProven(t *testing.T) {
+	beside := func(mode string) func([]string, string) []string {
+		return func(at []string, dir string) []string {
+			return append(as(t, mode), strings.Join(at, ","), filepath.Join(dir, mode+".events"))
+		}
+	}
+	dead := []string{"s00", "s02"}
+	for name, c := range map[string]struct {
+		opt   trial.Options
+		named func(*trial.Result) int
+	}{
+		"ignorant": {trial.Options{Controller: []string{"--ignorant"}}, func(r *trial.Result) int { return r.TwoActors }},
+		"reaper":   {trial.Options{Dead: dead, Beside: beside("reaper")}, func(r *trial.Result) int { return r.OverBudget }},
+		"reckless": {trial.Options{Beside: beside("reckless")}, func(r *trial.Result) int { return r.OverBudget }},
+		"right":    {trial.Options{Dead: dead}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(1); ; seed++ { // a race that a wrong process does not always win
+				c.opt.Seed, c.opt.For, c.opt.Calm, c.opt.Program = seed, 4*time.Second, true, as(t, "program")
+				r, err := trial.Run(t.Context(), c.opt)
+				if err != nil {
+					t.Fatal(err)
+				}
+				switch {
+				case c.named == nil && (len(r.Broken) > 0 || r.Permits == 0):
+					t.Errorf("%+v", r)
+				case c.named != nil && c.named(r) == 0 && seed < 4:
+					continue
+				case c.named != nil && c.named(r) == 0:
+					t.Errorf("not named: %+v", r)
+				}
+				return
+			}
+		})
+	}
+}
+
+// What staff get wrong stands on one line with file and key, before anything moves.
+func TestFleetBadInput(t *testing.T) {
+	var at [2]string
+	for i := range at {
+		var err error
+		if at[i], err = cluster.Free(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	cfg := write(t, "r.toml", fmt.Sprintf("id = \"r\"\ndir = %q\nraft = %q\naddress = %q\n[[peer]]\nid = \"r\"\nraft = %q\naddress = %q\n",
+		filepath.Join(t.TempDir(), "r"), at[0], at[1], at[0], at[1]))
+	r, err := replica.ReadConfig(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	one, err := replica.New(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer one.Close()
+	fleet := func(args ...string) (int, string) {
+		code, out, errs := call(append([]string{"fleet", args[0], "--at", one.Addr()}, args[1:]...)...)
+		return code, out + errs
+	}
+	limits := write(t, "limits.toml", "[[tier]]\ntier = \"web\"\nwhole = 0.5\n")
+	plan := write(t, "plan.toml", "name = \"p\"\nversion = \"v2\"\n[[stage]]\ntier = \"web\"\nshare = 1.0\n")
+	unit := write(t, "unit.json", `[{"uid":"s1","endpoint":"x:1","tier":"web","state":"SERVING","capacity_hint":1,"version":"v1"},
+		{"uid":"s2","endpoint":"x:2","tier":"web","state":"SERVING","capacity_hint":1,"version":"v1"}]`)
+	toml := func(text string) string { return write(t, "x.toml", text) }
+	for _, c := range []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"status"}, held, "no limits are set"},
+		{[]string{"release", plan}, couldNot, "no limits are set"},
+		{[]string{"drain", "s1"}, notHeld, "s1: there is no such unit"},
+		{[]string{"budget", toml("whole = 1\n")}, couldNot, "x.toml:1: whole: unknown key"},
+		{[]string{"budget", toml("[[tier]]\ntier = \"web\"\nwhole = 2.0\n")}, couldNot, "x.toml: tier[0].whole: 2 is no share"},
+		{[]string{"budget", limits}, held, "limits of 1 tiers"},
+		{[]string{"release", plan}, couldNot, "plan.toml: stage[0].tier: there is no tier \"web\""},
+		{[]string{"drain", "s1"}, notHeld, "there is no such unit"},
+	} {
+		if code, said := fleet(c.args...); code != c.code || !strings.Contains(said, c.want) || strings.Count(said, "\n") > 1 {
+			t.Errorf("%v: %d %q, want %d with %q", c.args, code, said, c.code, c.want)
+		}
+	}
+	if code, _, errs := call("registry", "put", "--at", one.Addr(), unit); code != held {
+		t.Fatal(errs)
+	}
+	for _, c := range []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"drain", "s1", "s2"}, notHeld, "s1: drains\ns2: over-budget: s2: tier web has 1 of 2 out and 1 more would be, where 1 may be"},
+		{[]string{"status"}, held, "out: s1"},
+		{[]string{"release", toml("name = \"p\"\nversion = \"v2\"\nneeds = { web = 1.5 }\n[[stage]]\ntier = \"web\"\nshare = 1.0\n")}, couldNot,
+			"needs: tier web has a capacity of 2, 1 of it out, and up to 1 may be out at once: 1 would be left where the load needs 1.5"},
+		{[]string{"release", toml("name = \"p\"\nversion = \"v2\"\n[[stage]]\nunits = [\"s1\", \"s9\"]\n")}, couldNot, "stage[0].units: there is no unit \"s9\""},
+		{[]string{"release", toml("name = \"p\"\nversion = \"v2\"\nbake = \"long\"\n[[stage]]\nunits = [\"s1\"]\n")}, couldNot, "bake: \"long\" is no time"},
+		{[]string{"halt", "p"}, couldNot, "there is no release \"p\""},
+		{[]string{"release", plan, "--check"}, held, "2 units in 1 stages"},
+		{[]string{"release", plan}, held, "2 units in 1 stages"},
+		{[]string{"release", plan}, couldNot, "release p runs"},
+		{[]string{"halt", "p"}, held, "nothing more of it begins"},
+		{[]string{"resume", "p"}, held, "goes on"},
+		{[]string{"resume", "p"}, couldNot, "p is not halted"},
+		{[]string{"back", "p"}, held, "p-back: 0 units"},
+		{[]string{"undrain", "s1"}, held, "serves"},
+		{[]string{"gone", "s1", "s9"}, notHeld, "s1: counts no more\ns9: not-found"},
+	} {
+		if code, said := fleet(c.args...); code != c.code || !strings.Contains(said, c.want) {
+			t.Errorf("%v: %d %q, want %d with %q", c.args, code, said, c.code, c.want)
+		}
+	}
+}
--- a/internal/agree/host/agent.go
+++ b/internal/agree/host/agent.go
@@ -84,8 +84,8 @@
 			continue
 		}
 		rev = seen.Rev
-		if len(seen.Permits) == 1 {
-			a.follow(ctx, seen.Permits[0])
+		if len(seen.Permits) == 1 && len(seen.Units) == 1 {
+			a.follow(ctx, seen.Permits[0], seen.Units[0])
 		}
 	}
 	if a.stop == nil {
@@ -131,7 +131,12 @@
 
 // follow changes the unit's version if a permit says so. The permit is begun by a write first: whoever is cut off, comes late,
 // or has been halted meanwhile changes nothing.
-func (a *Agent) follow(ctx context.Context, p *budget.Permit) {
+func (a *Agent) follow(ctx context.Context, p *budget.Permit, e *state.Entry) {
+	if p.To == a.Entry.Version && p.Begun && e.State == state.Draining && e.BootMS == a.Entry.BootMS && a.stop != nil {
+		// It was taken back before anything had changed. Another look tells what came of it.
+		one(ctx, a.writer, state.Op{Kind: state.Update, UID: p.Unit, Token: a.holder.Token(p.Unit), State: state.Serving})
+		return
+	}
 	if p.To == "" || p.To == a.Entry.Version {
 		return
 	}
--- /dev/null
+++ b/internal/agree/trial/judge_test.go
@@ -0,0 +1,50 @@
+package trial
+
+import (
+	"testing"
+	"time"
+
+	"hollyspur/internal/agree/host"
+)
+
+// What processes did, in seconds, and what the judge makes of it.
+func TestJudge(t *testing.T) {
+	at := func(s float64, what, unit string) host.Event {
+		return host.Event{At: time.Duration(s * float64(time.Second)), Sent: time.Duration(s * float64(time.Second)), What: what, Unit: unit, Plan: "next"}
+	}
+	act := func(s, sent float64, who string, token int64) host.Event {
+		e := at(s, "act", "")
+		e.Who, e.Token, e.Sent = who, token, time.Duration(sent*float64(time.Second))
+		return e
+	}
+	for name, c := range map[string]struct {
+		events          []host.Event
+		over, two, late int
+	}{
+		"within":                        {events: []host.Event{at(1, "out", "s00"), at(1, "out", "s01"), at(1, "out", "s02")}},
+		"a zone over":                   {events: []host.Event{at(1, "out", "s00"), at(1, "out", "s02"), at(1, "out", "s04")}, over: 1},
+		"a tier over":                   {events: []host.Event{at(1, "out", "s00"), at(1, "out", "s02"), at(1, "out", "s01"), at(2, "drained", "s03")}, over: 1},
+		"one is back and warm":          {events: []host.Event{at(1, "out", "s00"), at(1, "out", "s02"), at(2, "up", "s00"), at(3, "out", "s04")}},
+		"one is back and cold":          {events: []host.Event{at(1, "out", "s00"), at(1, "out", "s02"), at(2, "up", "s00"), at(2.1, "out", "s04")}, over: 1},
+		"a drain that was lifted":       {events: []host.Event{at(1, "drained", "s00"), at(2, "undrained", "s00"), at(3, "out", "s02"), at(3, "out", "s04")}},
+		"a death that all know of":      {events: []host.Event{at(1, "killed", "s00"), at(6, "out", "s02"), at(6, "out", "s04")}, over: 1},
+		"a death just now":              {events: []host.Event{at(1, "killed", "s00"), at(2, "out", "s02"), at(2, "out", "s04")}},
+		"one that a fault may hide":     {events: []host.Event{at(1, "killed", "s00"), at(2, "registry", ""), at(4, "registry over", ""), at(6, "out", "s02"), at(6, "out", "s04")}},
+		"one that it hides no more":     {events: []host.Event{at(1, "killed", "s00"), at(2, "registry", ""), at(4, "registry over", ""), at(9, "out", "s02"), at(9, "out", "s04")}, over: 1},
+		"two leads one after the other": {events: []host.Event{act(1, 0.9, "a", 1), act(2, 1.9, "b", 2)}},
+		"two leads at once":             {events: []host.Event{act(1, 0.9, "a", 1), act(2, 1.9, "b", 2), act(3, 2.9, "a", 1)}, two: 1},
+		"without the lead":              {events: []host.Event{act(1, 0.9, "a", 0)}, two: 1},
+		"an answer that came late":      {events: []host.Event{act(2, 1.9, "b", 2), act(2.5, 1.8, "a", 1)}},
+		"begun after a halt":            {events: []host.Event{at(1, "halt", ""), at(2.5, "out", "s00")}, late: 1},
+		"within the halt's second":      {events: []host.Event{at(1, "halt", ""), at(1.9, "out", "s00")}},
+		"after it was lifted":           {events: []host.Event{at(1, "halt", ""), at(2, "resume", ""), at(2.5, "out", "s00")}},
+	} {
+		r := newRecord()
+		r.events = c.events
+		var res Result
+		r.judge(&res)
+		if res.OverBudget != c.over || res.TwoActors != c.two || res.LateBegins != c.late || len(res.Broken) != c.over+c.two+c.late {
+			t.Errorf("%s: %+v", name, res)
+		}
+	}
+}
--- a/internal/registry/state/agree.go
+++ b/internal/registry/state/agree.go
@@ -326,10 +326,11 @@
 	return p != nil && p.Begun && p.Boot == e.BootMS && e.Role == ""
 }
 
-// changing says that a release is changing a unit: it cannot be told to serve until that is over.
-func (s *State) changing(uid string) (plan string, is bool) {
-	p := s.ledger.Permit(uid)
-	if p == nil || !p.Begun || p.To == "" {
+// changing says that a release is changing a unit: it cannot be told to serve until that is over, or was taken back
+// before anything had changed.
+func (s *State) changing(e *Entry) (plan string, is bool) {
+	p := s.ledger.Permit(e.UID)
+	if p == nil || !p.Begun || p.To == "" || p.To == e.Version {
 		return "", false
 	}
 	return p.Plan, true
--- a/internal/registry/state/state.go
+++ b/internal/registry/state/state.go
@@ -257,7 +257,7 @@
 	case Suspect, Trust:
 		e.Suspect = op.Kind == Suspect
 	case Update:
-		if plan, is := s.changing(op.UID); is && op.State == Serving {
+		if plan, is := s.changing(old); is && op.State == Serving {
 			return Answer{Fault: Conflict, Why: "release " + plan + " is changing it"}, nil
 		}
 		if op.State != "" {
