A replica does not take its own standstill, or a clock that jumps, for a disk that hangs

Lines at fault: checked.hung compared the wall clock at the sync's beginning with now, so a standstill, and a wall clock that is set forward, counted as the disk's. Change: the monotonic clock, and the gap between two looks of the leading goroutine is taken off.

--- a/cmd/umberbank/fleet.go
+++ b/cmd/umberbank/fleet.go
@@ -13,7 +13,6 @@
 	"hollyspur/internal/agree/budget"
 	"hollyspur/internal/agree/host"
 	"hollyspur/internal/agree/release"
-	"hollyspur/internal/registry/replica"
 	"hollyspur/internal/registry/state"
 	"hollyspur/internal/strict"
 )
@@ -34,7 +33,7 @@
 }
 
 // agreed asks for all that is agreed.
-func (r registryAt) agreed(ctx context.Context) (*replica.Agreed, error) {
+func (r registryAt) agreed(ctx context.Context) (*state.Agreed, error) {
 	w, err := r.writer()
 	if err != nil {
 		return nil, err
@@ -174,7 +173,7 @@
 	halt     string
 }
 
-func releases(v *replica.Agreed) (l []released) {
+func releases(v *state.Agreed) (l []released) {
 	view := release.View{Records: v.Records}
 	for _, r := range v.Records {
 		var x released
@@ -311,7 +310,7 @@
 }
 
 // propose enters a plan, unless another release runs.
-func (r registryAt) propose(a *app, p *release.Plan, v *replica.Agreed) error {
+func (r registryAt) propose(a *app, p *release.Plan, v *state.Agreed) error {
 	for _, o := range release.Running(release.View{Records: v.Records}) {
 		return fmt.Errorf("release %s runs", o.Name)
 	}
@@ -332,7 +331,7 @@
 }
 
 // find gives a release by its name.
-func (r registryAt) find(a *app, name string) (*released, *replica.Agreed, error) {
+func (r registryAt) find(a *app, name string) (*released, *state.Agreed, error) {
 	v, err := r.agreed(a.ctx)
 	if err != nil {
 		return nil, nil, err
--- a/cmd/umberbank/fleet_test.go
+++ b/cmd/umberbank/fleet_test.go
@@ -29,7 +29,7 @@
 	case "program":
 		os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
 	case "reaper":
-		wrong(ctx, func(w *client.Writer, v *replica.Agreed) {
+		wrong(ctx, func(w *client.Writer, v *state.Agreed) {
 			for _, o := range v.Outs {
 				if o.Why == "missing" { // the dead shall count no more
 					w.Write(ctx, state.Op{Kind: state.Gone, UID: o.Unit})
@@ -37,7 +37,7 @@
 			}
 		})
 	case "reckless":
-		wrong(ctx, func(w *client.Writer, v *replica.Agreed) {
+		wrong(ctx, func(w *client.Writer, v *state.Agreed) {
 			for _, u := range v.Units {
 				if u.Tier == "web" && u.State == state.Serving {
 					a, err := w.Write(ctx, state.Op{Kind: state.Update, UID: u.UID, State: state.Draining})
@@ -54,7 +54,7 @@
 }
 
 // wrong is a process that does what none may, again and again.
-func wrong(ctx context.Context, do func(*client.Writer, *replica.Agreed)) {
+func wrong(ctx context.Context, do func(*client.Writer, *state.Agreed)) {
 	w, err := client.NewWriter(client.Options{Endpoints: strings.Split(os.Args[1], ",")})
 	if err != nil {
 		panic(err)
--- a/cmd/umberbank/regbench.go
+++ b/cmd/umberbank/regbench.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"text/tabwriter"
+	"time"
 
 	"hollyspur/internal/registry/bench"
 )
@@ -15,6 +16,7 @@
 	Watches   int    `help:"Watchers of it." default:"2000"`
 	Lengths   []int  `help:"Only what a change costs, over lists of these lengths." placeholder:"N,N,..."`
 	Plot      string `help:"With --lengths: draw it (SVG)." placeholder:"FILE"`
+	Permits   int    `help:"Only decisions about permits, so many a second, for 10 s." placeholder:"N"`
 	JSON      bool   `help:"Print one JSON object; one a length with --lengths."`
 }
 
@@ -24,6 +26,7 @@
 
 Example:
   umberbank registry bench --instances 10000 --watches 2000 --json
+  umberbank registry bench --permits 2000
   umberbank registry bench --lengths 10,100,1000,10000 --watches 200 --plot change.svg`
 }
 
@@ -31,6 +34,9 @@
 	if len(c.Lengths) > 0 {
 		return c.lengths(a)
 	}
+	if c.Permits > 0 {
+		return c.permits(a)
+	}
 	if c.Plot != "" {
 		return errors.New("--plot: only with --lengths")
 	}
@@ -51,6 +57,20 @@
 	return t.Flush()
 }
 
+// permits measures decisions about permits.
+func (c *registryBenchCmd) permits(a *app) error {
+	p, err := bench.MeasurePermits(a.ctx, bench.Options{Instances: c.Instances, Step: func(s string) { a.log.Info(s) }}, c.Permits, 10*time.Second)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return json.NewEncoder(a.out).Encode(p)
+	}
+	_, err = fmt.Fprintf(a.out, "%d units, %.0f decisions a second asked, %.0f made: p50 %.1f ms, p99 %.1f ms (%d granted, %d returned)\n",
+		p.Units, p.Rate, p.PerS, p.P50, p.P99, p.Granted, p.Returned)
+	return err
+}
+
 // lengths measures what a change costs over lists of several lengths.
 func (c *registryBenchCmd) lengths(a *app) error {
 	l, err := bench.Lengths(a.ctx, bench.Options{Watches: c.Watches, Step: func(s string) { a.log.Info(s) }}, c.Lengths)
--- a/internal/agree/host/agent.go
+++ b/internal/agree/host/agent.go
@@ -78,7 +78,7 @@
 			a.Log.Warn("the unit does not serve", "unit", a.Entry.UID, "version", a.Entry.Version, "error", err)
 			pause(ctx, startRest)
 		}
-		seen, err := agreed(ctx, a.writer, url.Values{"unit": {a.Entry.UID}}, rev, pollWait)
+		seen, err := a.writer.Agreed(ctx, url.Values{"unit": {a.Entry.UID}}, rev, pollWait)
 		if err != nil {
 			rev = 0
 			continue
@@ -91,7 +91,7 @@
 	if a.stop == nil {
 		return nil
 	}
-	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), callWithin)
+	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveWithin)
 	defer cancel()
 	_, err = a.writer.Write(leaving, state.Op{Kind: state.Remove, UID: a.Entry.UID, Token: a.holder.Token(a.Entry.UID)})
 	return err
@@ -134,14 +134,14 @@
 func (a *Agent) follow(ctx context.Context, p *budget.Permit, e *state.Entry) {
 	if p.To == a.Entry.Version && p.Begun && e.State == state.Draining && e.BootMS == a.Entry.BootMS && a.stop != nil {
 		// It was taken back before anything had changed. Another look tells what came of it.
-		one(ctx, a.writer, state.Op{Kind: state.Update, UID: p.Unit, Token: a.holder.Token(p.Unit), State: state.Serving})
+		a.writer.One(ctx, state.Op{Kind: state.Update, UID: p.Unit, Token: a.holder.Token(p.Unit), State: state.Serving})
 		return
 	}
 	if p.To == "" || p.To == a.Entry.Version {
 		return
 	}
 	sent := Now()
-	answer, err := one(ctx, a.writer, state.Op{Kind: state.Begin, UID: p.Unit, Token: p.Token})
+	answer, err := a.writer.One(ctx, state.Op{Kind: state.Begin, UID: p.Unit, Token: p.Token})
 	if err != nil || answer.Fault != "" {
 		return // another look tells more
 	}
@@ -190,15 +190,11 @@
 // register enters the unit's start, and holds its lease from then on.
 func (a *Agent) register(ctx context.Context) error {
 	if a.Entry.BootMS == 0 {
-		// A clock that was set back must not make this start look older than the one before it.
-		known, err := agreed(ctx, a.writer, url.Values{"unit": {a.Entry.UID}, "consistent": {"1"}}, 0, 0)
+		boot, err := a.writer.NextBoot(ctx, a.Entry.UID, a.Wall())
 		if err != nil {
 			return err
 		}
-		a.Entry.BootMS = float64(a.Wall().UnixMilli())
-		for _, e := range known.Units {
-			a.Entry.BootMS = max(a.Entry.BootMS, e.BootMS+1)
-		}
+		a.Entry.BootMS = boot
 	}
 	a.Entry.State = state.Serving
 	entry := a.Entry
--- a/internal/agree/host/control.go
+++ b/internal/agree/host/control.go
@@ -23,7 +23,7 @@
 	TTL      time.Duration // of the lead's lease
 	Journal  *Journal
 	Log      *slog.Logger
-	Done     func(a *replica.Agreed) bool // looks at each view; true: Run returns. nil: never
+	Done     func(a *state.Agreed) bool // looks at each view; true: Run returns. nil: never
 
 	// Ignorant has it act, wrongly, whether it holds the lead or not: a judge is proven with it.
 	Ignorant bool
@@ -46,7 +46,7 @@
 	var renewed time.Time
 	began := time.Now()
 	for ctx.Err() == nil {
-		v, err := agreed(ctx, c.writer, url.Values{"units": {"1"}, "lead": {Lead}}, rev, look)
+		v, err := c.writer.Agreed(ctx, url.Values{"units": {"1"}, "lead": {Lead}}, rev, look)
 		if err != nil {
 			rev = 0
 			continue
@@ -71,7 +71,7 @@
 		}
 	}
 	if c.token != 0 {
-		leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), callWithin)
+		leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveWithin)
 		defer cancel()
 		c.writer.Write(leaving, state.Op{Kind: state.Remove, UID: Lead, Token: c.token}) // else its lease ends
 	}
@@ -81,7 +81,7 @@
 // take asks for the lead.
 func (c *Controller) take(ctx context.Context) {
 	e := &state.Entry{UID: Lead, Endpoint: c.Name, State: state.Serving, Role: state.Controller, TTLMS: c.TTL.Milliseconds()}
-	a, err := one(ctx, c.writer, state.Op{Kind: state.Register, Entry: e, IfMod: state.Absent})
+	a, err := c.writer.One(ctx, state.Op{Kind: state.Register, Entry: e, IfMod: state.Absent})
 	if err == nil && a.Fault == "" {
 		c.token = a.Token
 		c.Log.Info("leads", "controller", c.Name, "token", a.Token)
@@ -109,7 +109,7 @@
 
 // act carries the machine's orders out. Each is fenced by the lead, so that one that comes late comes to nothing; after the
 // first that does not go through the rest waits for the next look.
-func (c *Controller) act(ctx context.Context, v *replica.Agreed, now time.Duration) {
+func (c *Controller) act(ctx context.Context, v *state.Agreed, now time.Duration) {
 	orders := c.machine.Next(release.View{Units: v.Units, Outs: v.Outs, Permits: v.Permits, Records: v.Records}, now)
 	for _, o := range orders {
 		o.Fence = &state.Fence{UID: Lead, Token: c.token}
@@ -117,7 +117,7 @@
 			o.Fence = nil
 		}
 		sent := Now()
-		a, err := one(ctx, c.writer, o.Op)
+		a, err := c.writer.One(ctx, o.Op)
 		if err != nil {
 			return
 		}
--- a/internal/agree/host/host.go
+++ b/internal/agree/host/host.go
@@ -7,48 +7,24 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net/url"
 	"os"
-	"strconv"
 	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
 
 	"hollyspur/internal/registry/client"
-	"hollyspur/internal/registry/replica"
 	"hollyspur/internal/registry/state"
 )
 
-// agreed asks what is agreed, later than a revision if that comes within wait.
-func agreed(ctx context.Context, w *client.Writer, query url.Values, after int64, wait time.Duration) (*replica.Agreed, error) {
-	query.Set("after", strconv.FormatInt(after, 10))
-	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
-	ctx, cancel := context.WithTimeout(ctx, wait+callWithin)
-	defer cancel()
-	var a replica.Agreed
-	return &a, w.Call(ctx, "GET", "/registry/agreed?"+query.Encode(), nil, &a)
-}
-
 // Agreed asks for all that is agreed, with all units, as of when it was called.
-func Agreed(ctx context.Context, w *client.Writer) (*replica.Agreed, error) {
-	var a replica.Agreed
+func Agreed(ctx context.Context, w *client.Writer) (*state.Agreed, error) {
+	var a state.Agreed
 	return &a, w.Call(ctx, "GET", "/registry/agreed?consistent=1&units=1&lead="+Lead, nil, &a)
 }
 
-// callWithin is how long a call may take before another is made.
-const callWithin = time.Second
-
-// one has one write carried out.
-func one(ctx context.Context, w *client.Writer, op state.Op) (state.Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, callWithin)
-	defer cancel()
-	a, err := w.Write(ctx, op)
-	if err != nil {
-		return state.Answer{}, err
-	}
-	return a[0], nil
-}
+// leaveWithin is how long a process that ends tries to say so.
+const leaveWithin = time.Second
 
 // Event is something that a process did, as it says itself. An outside judge reads them.
 type Event struct {
--- a/internal/agree/trial/trial.go
+++ b/internal/agree/trial/trial.go
@@ -24,7 +24,7 @@
 	"hollyspur/internal/procs/relay"
 	"hollyspur/internal/registry/client"
 	"hollyspur/internal/registry/cluster"
-	"hollyspur/internal/registry/replica"
+	"hollyspur/internal/registry/state"
 )
 
 // Options say what is played.
@@ -237,7 +237,7 @@
 		}
 		s.controls = append(s.controls, p)
 	}
-	return s.await(ctx, "all units are to be registered and warm", func(v *replica.Agreed) bool {
+	return s.await(ctx, "all units are to be registered and warm", func(v *state.Agreed) bool {
 		return len(v.Units) == servers+nodes && len(v.Outs) == 0 && v.Lead != nil
 	})
 }
@@ -272,12 +272,12 @@
 }
 
 // await waits until what is agreed is so.
-func (s *site) await(ctx context.Context, what string, is func(*replica.Agreed) bool) error {
+func (s *site) await(ctx context.Context, what string, is func(*state.Agreed) bool) error {
 	w, err := client.NewWriter(client.Options{Endpoints: s.cluster.Addresses(), RestMost: 100 * time.Millisecond})
 	if err != nil {
 		return err
 	}
-	var v *replica.Agreed
+	var v *state.Agreed
 	for {
 		if now, err := host.Agreed(ctx, w); err == nil {
 			if v = now; is(v) {
@@ -481,7 +481,7 @@
 		s.undo.Go(func() { s.staff(ctx, "undrain", u.id) })
 	}
 	s.undo.Wait()
-	return s.await(ctx, "all units are to run "+version, func(v *replica.Agreed) bool {
+	return s.await(ctx, "all units are to run "+version, func(v *state.Agreed) bool {
 		for _, u := range v.Units {
 			if u.Version != version {
 				return false
--- a/internal/procs/process.go
+++ b/internal/procs/process.go
@@ -27,12 +27,16 @@
 	p.command = command
 }
 
-// Start starts it if it does not run.
+// Start starts it if it does not run, or has ended by itself.
 func (p *Process) Start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd != nil {
-		return nil
+		select {
+		case <-p.ended:
+		default:
+			return nil
+		}
 	}
 	log, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
--- a/internal/registry/bench/bench.go
+++ b/internal/registry/bench/bench.go
@@ -58,6 +58,7 @@
 	within         = time.Minute
 	between        = 30 * time.Millisecond // changes
 	mostMS         = 60_000
+	benchTier      = "web"
 	collect        = "25"
 )
 
@@ -144,7 +145,7 @@
 			var ops []state.Op
 			for i := from; i < min(from+batch, m.o.Instances); i++ {
 				ops = append(ops, state.Op{Kind: state.Register, Entry: &state.Entry{UID: uid(i), Endpoint: fmt.Sprintf("10.%d.%d.1:3000", i/250, i%250),
-					Zone: fmt.Sprint("z", i%3), State: state.Serving, Capacity: 1}})
+					Tier: benchTier, Zone: fmt.Sprint("z", i%3), Rack: i / 20, State: state.Serving, Capacity: 1}})
 			}
 			_, err := m.w.Write(ctx, ops...)
 			return err
--- a/internal/registry/replica/api.go
+++ b/internal/registry/replica/api.go
@@ -9,12 +9,12 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/raft"
 
-	"hollyspur/internal/agree/budget"
 	"hollyspur/internal/registry/state"
 )
 
@@ -227,18 +227,6 @@
 	reply(w, st, nil)
 }
 
-// Agreed is what a site has agreed on, as of a revision.
-type Agreed struct {
-	Rev     int64            `json:"rev"`
-	Limits  *budget.Limits   `json:"limits,omitempty"`
-	Uses    []budget.Use     `json:"uses,omitempty"`
-	Outs    []budget.Out     `json:"outs,omitempty"`
-	Permits []*budget.Permit `json:"permits"`
-	Records []*state.Record  `json:"records"`
-	Units   []*state.Entry   `json:"units,omitempty"` // nodes and servers that count, the missing with them
-	Lead    *state.Entry     `json:"lead,omitempty"`  // who acts, where a lead is asked for
-}
-
 // staleMost is how old what is agreed may be that a replica tells.
 const staleMost = 2 * time.Second
 
@@ -246,7 +234,8 @@
 const maxWait = 10 * time.Second
 
 // agreement tells what is agreed. after=REV waits until there is a later revision, or wait_ms are over; unit=UID gives that
-// unit and its permit alone; units=1 gives all units, lead=UID that controller; consistent=1 is as for instances.
+// unit and its permit alone, node=UID what settings it is to run, without the contents of versions that it has (has=N,M); units=1
+// gives all units, lead=UID that controller; consistent=1 is as for instances.
 func (r *Replica) agreement(w http.ResponseWriter, q *http.Request) {
 	query := q.URL.Query()
 	if query.Get("consistent") != "" {
@@ -272,26 +261,25 @@
 		reply(w, nil, errors.New("this replica has lost its leader"))
 		return
 	}
-	var a Agreed
+	has := map[int64]bool{}
+	for _, text := range strings.Split(query.Get("has"), ",") {
+		if n, err := strconv.ParseInt(text, 10, 64); err == nil {
+			has[n] = true
+		}
+	}
+	var a state.Agreed
 	var text []byte
 	var err error
 	r.fsm.read(func(s *state.State) {
-		a = Agreed{Rev: s.Rev(), Limits: s.Limits(), Permits: []*budget.Permit{}, Records: []*state.Record{}}
-		if uid := query.Get("unit"); uid != "" {
-			if e := cmp.Or(s.Get(uid), s.Missing(uid)); e != nil {
-				a.Units = append(a.Units, e)
-			}
-			if p := s.Ledger().Permit(uid); p != nil {
-				a.Permits = append(a.Permits, p)
-			}
-		} else {
-			a.Uses, a.Outs, a.Permits, a.Records = s.Ledger().Uses(), s.Ledger().Outs(), s.Ledger().Permits(), s.Records("")
-			a.Lead = s.Get(query.Get("lead"))
-		}
-		if query.Get("units") != "" {
-			a.Units = s.Units()
+		switch unit, node := query.Get("unit"), query.Get("node"); {
+		case unit != "":
+			a = s.AgreedOfUnit(unit)
+		case node != "":
+			a = s.AgreedOfNode(node, has)
+		default:
+			a = s.Agreed(query.Get("units") != "", query.Get("lead"))
 		}
-		text, err = json.Marshal(a) // permits change in place
+		text, err = json.Marshal(a) // much of it changes in place
 	})
 	w.Header().Set(HeaderRev, strconv.FormatInt(a.Rev, 10))
 	reply(w, json.RawMessage(text), err)
--- a/internal/registry/replica/checked.go
+++ b/internal/registry/replica/checked.go
@@ -19,7 +19,8 @@
 	wait   func()      // before each sync; nil: not at all
 	spoilt func(error) // hears of each entry that is not what was written
 
-	began atomic.Int64 // UnixNano at which the sync under way began; 0: none is
+	base  time.Time    // on the monotonic clock
+	began atomic.Int64 // of the sync under way, since base; 0: there is none
 	slow  atomic.Int32 // syncs in a row that took longer than limit
 	limit time.Duration
 }
@@ -56,7 +57,7 @@
 		out[i] = &with
 	}
 	began := time.Now()
-	c.began.Store(began.UnixNano())
+	c.began.Store(max(1, int64(began.Sub(c.base))))
 	defer c.began.Store(0)
 	if c.wait != nil {
 		c.wait()
@@ -71,12 +72,20 @@
 }
 
 // hung is how long the sync under way has lasted.
-func (c *checked) hung(now time.Time) time.Duration {
+func (c *checked) hung() time.Duration {
 	began := c.began.Load()
 	if began == 0 {
 		return 0
 	}
-	return now.Sub(time.Unix(0, began))
+	return time.Since(c.base) - time.Duration(began)
+}
+
+// stood leaves the time in which this process stood still out of what the sync under way has lasted: the disk may be
+// well.
+func (c *checked) stood(gap time.Duration) {
+	if began := c.began.Load(); began != 0 {
+		c.began.CompareAndSwap(began, began+int64(gap))
+	}
 }
 
 // GetLog reads an entry, and fails if it is not what was stored.
--- a/internal/registry/replica/disk_test.go
+++ b/internal/registry/replica/disk_test.go
@@ -277,3 +277,21 @@
 		})
 	}
 }
+
+// A sync lasts by the monotonic clock, and not for as long as this process stood still.
+func TestStoodStill(t *testing.T) {
+	c := &checked{base: time.Now().Add(-time.Minute)}
+	if c.hung() != 0 {
+		t.Error("no sync is under way")
+	}
+	c.stood(time.Second)
+	c.began.Store(int64(50 * time.Second)) // ten seconds ago
+	if d := c.hung(); d < 10*time.Second || d > 40*time.Second {
+		t.Errorf("it lasts %v", d)
+	}
+	before := c.hung()
+	c.stood(9 * time.Second)
+	if d := c.hung(); d < before-9*time.Second || d > before {
+		t.Errorf("without 9 s of standstill it lasts %v, before %v", d, before)
+	}
+}
--- a/internal/registry/replica/fsm.go
+++ b/internal/registry/replica/fsm.go
@@ -4,10 +4,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"sync"
 
 	"github.com/hashicorp/raft"
 
+	"hollyspur/internal/interleave/isync"
 	"hollyspur/internal/registry/state"
 )
 
@@ -28,7 +28,7 @@
 	hub     *hub
 	applied func(kind, fault string) // hears of every write
 
-	mu    sync.RWMutex
+	mu    isync.RWMutex
 	state *state.State
 }
 
--- a/internal/registry/replica/hub.go
+++ b/internal/registry/replica/hub.go
@@ -2,8 +2,8 @@
 
 import (
 	"encoding/json"
-	"sync"
 
+	"hollyspur/internal/interleave/isync"
 	"hollyspur/internal/registry/state"
 )
 
@@ -30,7 +30,7 @@
 // hub hands changes to any number of readers. Each holds only its revision; nothing is kept for it, so a slow one
 // costs nothing and holds nobody up.
 type hub struct {
-	mu      sync.Mutex
+	mu      isync.Mutex
 	rev     int64
 	lines   []line
 	history int // changed entries in lines
--- /dev/null
+++ b/internal/registry/replica/interleave_test.go
@@ -0,0 +1,163 @@
+//go:build interleave
+
+package replica
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/hashicorp/raft"
+
+	"hollyspur/internal/agree/budget"
+	"hollyspur/internal/interleave"
+	"hollyspur/internal/registry/state"
+)
+
+// apply applies writes as raft does: on one goroutine at a time, in the order of the log.
+func apply(f *fsm, order *interleave.Mutex, ops ...state.Op) []state.Answer {
+	text, err := json.Marshal(command{Ops: ops})
+	if err != nil {
+		panic(err)
+	}
+	order.Lock()
+	defer order.Unlock()
+	return f.Apply(&raft.Log{Type: raft.LogCommand, Data: text}).(answers).list
+}
+
+func enter(uid string) state.Op {
+	return state.Op{Kind: state.Register, Entry: &state.Entry{UID: uid, Endpoint: "x:1", State: state.Serving, Tier: "web", Capacity: 1}}
+}
+
+// A writer publishes, or restores a backup, while readers follow. Each reader comes to the last revision, whatever it had
+// missed, and none sleeps through a change.
+func TestInterleaveHub(t *testing.T) {
+	follow := func(f *fsm, last func() int64, wakeAfter bool) {
+		since := int64(1) << 40
+		for since != last() {
+			lines, rev, whole, wake, err := f.hub.after(since)
+			switch {
+			case err != nil:
+				interleave.Failf("%v", err)
+			case whole:
+				if _, rev, err = f.hub.wholeList(func() (rev int64, l []*state.Entry) {
+					f.read(func(s *state.State) { rev, l = s.Rev(), s.Entries() })
+					return rev, l
+				}); err != nil {
+					interleave.Failf("%v", err)
+				}
+				since = rev
+			case len(lines) > 0:
+				since = rev
+			default:
+				if wakeAfter { // the planted fault
+					f.hub.mu.Lock()
+					wake = f.hub.wake
+					f.hub.mu.Unlock()
+				}
+				interleave.Wait(wake)
+			}
+		}
+	}
+	body := func(restore, wakeAfter bool) func(x *interleave.Exec) {
+		return func(x *interleave.Exec) {
+			f, order := newFSM(), &interleave.Mutex{}
+			want := int64(1)<<40 + 2
+			if restore {
+				want = int64(2)<<40 + 1
+			}
+			x.Go("writer", func() {
+				apply(f, order, enter("a"))
+				if restore {
+					backup, _ := f.state.Snapshot()
+					order.Lock()
+					text, _ := json.Marshal(command{Restore: backup})
+					f.Apply(&raft.Log{Type: raft.LogCommand, Data: text})
+					order.Unlock()
+				}
+				apply(f, order, enter("b"))
+			})
+			x.Go("reader", func() { follow(f, func() int64 { return want }, wakeAfter) })
+		}
+	}
+	interleave.Check(t, interleave.Options{}, body(false, false))
+	interleave.Check(t, interleave.Options{}, body(true, false))
+	interleave.Finds(t, interleave.Options{}, "nobody can go on: reader at wait for", body(false, true))
+}
+
+// A whole list and the revision that it is given at belong together, while entries come.
+func TestInterleaveWholeList(t *testing.T) {
+	body := func(twice bool) func(x *interleave.Exec) {
+		return func(x *interleave.Exec) {
+			f, order := newFSM(), &interleave.Mutex{}
+			x.Go("writer", func() { apply(f, order, enter("a")); apply(f, order, enter("b")) })
+			for i := range 2 {
+				x.Go(fmt.Sprint("reader ", i), func() {
+					text, rev, err := f.hub.wholeList(func() (rev int64, l []*state.Entry) {
+						f.read(func(s *state.State) { rev, l = s.Rev(), s.Entries() })
+						if twice { // the planted fault
+							f.read(func(s *state.State) { l = s.Entries() })
+						}
+						return rev, l
+					})
+					var m message
+					if err != nil || json.Unmarshal(text, &m) != nil || int64(len(m.Targets)) != rev-1<<40 || m.Rev != rev {
+						interleave.Failf("%d entries at revision %d", len(m.Targets), rev-1<<40)
+					}
+				})
+			}
+		}
+	}
+	interleave.Check(t, interleave.Options{}, body(false))
+	interleave.Finds(t, interleave.Options{}, "entries at revision", body(true))
+}
+
+// An agent begins its permit and acts, while the permit lapses, staff halt the release, and somebody else wants to
+// take another unit out, where one of two may be. Never do both act, and the agent never acts on a permit that it began after
+// the halt.
+func TestInterleavePermit(t *testing.T) {
+	body := func(looks bool) func(x *interleave.Exec) {
+		return func(x *interleave.Exec) {
+			f, order := newFSM(), &interleave.Mutex{}
+			half := 0.5
+			apply(f, order, state.Op{Kind: state.SetLimits, Limits: &budget.Limits{Tiers: []budget.Limit{{Tier: "web", Whole: &half}}}})
+			apply(f, order, enter("a"), enter("b"))
+			permit := apply(f, order, state.Op{Kind: state.Permit, UID: "a", Start: f.state.Get("a").Token, Holder: "c", Plan: "p", To: "v2"})[0]
+			acted := map[string]bool{}
+			act := func(uid string) {
+				interleave.Step(&acted, "act")
+				acted[uid] = true
+			}
+			x.Go("agent", func() {
+				if looks { // the planted fault: a look in place of the write
+					may := false
+					f.read(func(s *state.State) { may = s.Ledger().Permit("a") != nil && s.Record(state.HaltPrefix+"p") == nil })
+					if may {
+						act("a")
+					}
+					return
+				}
+				if apply(f, order, state.Op{Kind: state.Begin, UID: "a", Token: permit.Token})[0].Fault == "" {
+					act("a")
+				}
+			})
+			x.Go("lapse", func() { apply(f, order, state.Op{Kind: state.Return, UID: "a", Token: permit.Token}) })
+			x.Go("staff", func() {
+				apply(f, order, state.Op{Kind: state.Put, Key: state.HaltPrefix + "p", Value: json.RawMessage(`{}`)})
+			})
+			x.Go("other", func() {
+				p := apply(f, order, state.Op{Kind: state.Permit, UID: "b", Start: f.state.Get("b").Token, Holder: "d"})[0]
+				if p.Fault == "" && apply(f, order, state.Op{Kind: state.Begin, UID: "b", Token: p.Token})[0].Fault == "" {
+					act("b")
+				}
+			})
+			x.Finally(func() {
+				if acted["a"] && acted["b"] {
+					interleave.Failf("both are out")
+				}
+			})
+		}
+	}
+	interleave.Check(t, interleave.Options{}, body(false))
+	interleave.Finds(t, interleave.Options{}, "both are out", body(true))
+}
--- a/internal/registry/replica/replica.go
+++ b/internal/registry/replica/replica.go
@@ -152,7 +152,7 @@
 	if err := renameio.WriteFile(filepath.Join(cfg.Dir, marker), nil, 0o600); err != nil {
 		return nil, err
 	}
-	log := &checked{LogStore: r.store, spoilt: r.fail, limit: slowSync * cfg.Tick}
+	log := &checked{LogStore: r.store, base: time.Now(), spoilt: r.fail, limit: slowSync * cfg.Tick}
 	if cfg.SyncWait != "" {
 		log.wait = func() { time.Sleep(syncWait(cfg.SyncWait)) }
 	}
@@ -284,6 +284,7 @@
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
 	began := time.Now()
+	looked := began
 	var handed time.Time // when the lead was last handed over
 	var kept *leases
 	var wake <-chan struct{}
@@ -304,7 +305,11 @@
 			if r.raft.State() == raft.Shutdown {
 				return
 			}
-			if d := r.log.hung(time.Now()); d > hungSync*r.cfg.Tick {
+			if gap := time.Since(looked); gap > stalledAfter {
+				r.log.stood(gap)
+			}
+			looked = time.Now()
+			if d := r.log.hung(); d > hungSync*r.cfg.Tick {
 				r.fail(fmt.Errorf("%s: a sync has not ended for %v", r.cfg.Dir, d.Round(time.Millisecond)))
 				return
 			}
--- a/internal/registry/state/agree.go
+++ b/internal/registry/state/agree.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"maps"
@@ -9,6 +11,7 @@
 	"strings"
 
 	"hollyspur/internal/agree/budget"
+	"hollyspur/internal/agree/rollout"
 )
 
 // What processes of a site have agreed on beside the list: limits of what may be out, permits, and records. It is
@@ -30,6 +33,14 @@
 	Warm      = "warm"   // by the leader: how cold a unit still is
 	Avoid     = "avoid"  // by a node: which servers it keeps out for their health
 	Put       = "put"    // a record, or with no value its end
+
+	Propose  = "propose"  // a version of nodes' settings, against the one that it replaces
+	Ack      = "ack"      // by a node: it could run what is proposed, or why not
+	Report   = "report"   // by a node: what it runs
+	Commit   = "commit"   // the next stage's nodes are to run it
+	Withdraw = "withdraw" // what no node was told to run
+	GoBack   = "go-back"  // the old content as a new version
+	Halt     = "halt"     // the version under way
 )
 
 // Faults of writes about what is agreed.
@@ -37,6 +48,7 @@
 	OverBudget = "over-budget"
 	Halted     = "halted"
 	NoPermit   = "no-permit"
+	NotYet     = "not-yet" // Why says what is missing
 )
 
 // Absent as Op.IfMod means that there must be no such entry or record.
@@ -67,11 +79,13 @@
 	avoids  map[string][]string // by node
 	avoided map[string]int      // by server: how many nodes avoid it
 	nodes   map[string]int      // by the tier that they send to, how many there are
+	book    *rollout.Book       // of the versions of nodes' settings
+	configs map[int64]json.RawMessage
 }
 
 func newAgreed() agreed {
 	return agreed{ledger: budget.New(), missing: map[string]*Entry{}, records: map[string]*Record{},
-		avoids: map[string][]string{}, avoided: map[string]int{}, nodes: map[string]int{}}
+		avoids: map[string][]string{}, avoided: map[string]int{}, nodes: map[string]int{}, book: rollout.New(), configs: map[int64]json.RawMessage{}}
 }
 
 // Ledger is what may be out and what is. It must not be changed.
@@ -120,9 +134,64 @@
 	return e == nil || e.Token != f.Token
 }
 
+// Book is which versions of their settings nodes run. It must not be changed.
+func (s *State) Book() *rollout.Book { return s.book }
+
+// Config is the content of a version; nil: it is not known.
+func (s *State) Config(number int64) json.RawMessage { return s.configs[number] }
+
+// rollout carries out a write about the versions of nodes' settings.
+func (s *State) rollout(op Op) Answer {
+	var err error
+	var v *rollout.Version
+	switch op.Kind {
+	case Propose:
+		if len(op.Value) == 0 || len(op.Value) > maxRecord || !json.Valid(op.Value) {
+			return Answer{Fault: Bad}
+		}
+		if v, err = s.book.Propose(Hash(op.Value), op.Replaces, op.Stages); err == nil {
+			s.configs[v.Number] = op.Value
+		}
+	case GoBack:
+		content := s.configs[s.book.Committed.Number]
+		if v, err = s.book.Back(); err == nil {
+			s.configs[v.Number] = content
+		}
+	case Ack:
+		err = s.book.Ack(op.UID, op.Token, op.Number, op.Hash, op.Refused)
+	case Report:
+		err = s.book.Report(op.UID, op.Token, op.Number, op.Hash)
+	case Commit:
+		err = s.book.Commit(op.Number, op.Stage)
+	case Withdraw:
+		err = s.book.Withdraw(op.Number)
+	case Halt:
+		err = s.book.Halt(op.Holder)
+	}
+	if err != nil {
+		return Answer{Fault: NotYet, Why: err.Error()}
+	}
+	s.rev++
+	wants := s.book.Wants()
+	maps.DeleteFunc(s.configs, func(n int64, _ json.RawMessage) bool { return !wants[n] })
+	a := Answer{}
+	if v != nil {
+		a.Token = v.Number
+	}
+	return a
+}
+
+// Hash is what a version's content is known by. It is of the text as it stands.
+func Hash(content []byte) string {
+	sum := sha256.Sum256(content)
+	return hex.EncodeToString(sum[:])
+}
+
 // agree carries out a write about what is agreed.
 func (s *State) agree(op Op) (Answer, *Entry) {
 	switch op.Kind {
+	case Propose, GoBack, Ack, Report, Commit, Withdraw, Halt:
+		return s.rollout(op), nil
 	case SetLimits:
 		if op.Limits == nil || op.Limits.Check() != nil {
 			return Answer{Fault: Bad}, nil
@@ -148,8 +217,7 @@
 		if s.missing[op.UID] == nil {
 			return Answer{Fault: NotFound}, nil
 		}
-		delete(s.missing, op.UID)
-		s.ledger.Gone(op.UID)
+		s.forget(op.UID)
 		s.rev++
 		return Answer{}, nil
 	case Avoid:
@@ -260,6 +328,9 @@
 	if e.Tier == "" || e.Role == Controller {
 		return
 	}
+	if e.Role == Node {
+		s.book.SetNode(e.UID, e.Zone, e.Token, s.missing[e.UID] != nil)
+	}
 	u := budget.Unit{ID: e.UID, Start: e.Token, Boot: e.BootMS, Tier: e.Tier, Zone: e.Zone, Region: e.Region, Rack: e.Rack, Capacity: e.Capacity}
 	switch {
 	case s.missing[e.UID] != nil:
@@ -290,9 +361,8 @@
 	case e.State != Deleted:
 		delete(s.missing, e.UID)
 		s.note(e)
-	case declared || s.limits == nil:
-		delete(s.missing, e.UID)
-		s.ledger.Gone(e.UID)
+	case declared || s.limits == nil && e.Role != Node:
+		s.forget(e.UID)
 	default:
 		gone := *e
 		gone.State = old.State
@@ -301,6 +371,13 @@
 	}
 }
 
+// forget counts a unit no more.
+func (s *State) forget(uid string) {
+	delete(s.missing, uid)
+	s.ledger.Gone(uid)
+	s.book.Gone(uid)
+}
+
 // countNode counts a node in or out, and looks anew at what most nodes avoid.
 func (s *State) countNode(e *Entry, n int) {
 	if e == nil || e.Role != Node || e.State == Deleted {
@@ -353,10 +430,13 @@
 	Missing []*Entry            `json:"missing,omitempty"`
 	Records []*Record           `json:"records,omitempty"`
 	Avoids  map[string][]string `json:"avoids,omitempty"`
+
+	Book    *rollout.Book             `json:"book,omitempty"`
+	Configs map[int64]json.RawMessage `json:"configs,omitempty"`
 }
 
 func (s *State) agreedImage() agreedImage {
-	m := agreedImage{Limits: s.limits, Permits: s.ledger.Permits(), Records: s.Records(""), Avoids: s.avoids}
+	m := agreedImage{Limits: s.limits, Permits: s.ledger.Permits(), Records: s.Records(""), Avoids: s.avoids, Book: s.book, Configs: s.configs}
 	for _, uid := range slices.Sorted(maps.Keys(s.missing)) {
 		m.Missing = append(m.Missing, s.missing[uid])
 	}
@@ -372,6 +452,10 @@
 	for _, r := range m.Records {
 		s.records[r.Key] = r
 	}
+	if m.Book != nil {
+		s.book = m.Book.Clone()
+	}
+	maps.Copy(s.configs, m.Configs)
 	for _, e := range m.Missing {
 		if s.entries[e.UID] == nil {
 			s.missing[e.UID] = e
@@ -404,6 +488,9 @@
 func (s *State) restored(backup, running *State) {
 	m := backup.agreedImage()
 	m.Avoids = nil
+	if len(running.book.Nodes) > 0 {
+		m.Book, m.Configs = running.book, running.configs // what nodes run does not change with the registry
+	}
 	for _, e := range running.agreedImage().Missing {
 		if backup.missing[e.UID] == nil {
 			m.Missing = append(m.Missing, e)
--- a/internal/registry/state/state.go
+++ b/internal/registry/state/state.go
@@ -71,16 +71,23 @@
 	// What Member sets; an empty address takes the replica out.
 	Address string `json:"address,omitempty"`
 	// What the writes of agree.go set; UID names the unit.
-	Limits *budget.Limits  `json:"limits,omitempty"`
-	Start  int64           `json:"start,omitempty"` // token of the unit's start
-	Holder string          `json:"holder,omitempty"`
-	Plan   string          `json:"plan,omitempty"`
-	To     string          `json:"to,omitempty"`
-	Over   string          `json:"over,omitempty"` // the plan whose begun permit this one takes the place of
-	Cold   *float64        `json:"cold,omitempty"`
-	Avoids []string        `json:"avoids,omitempty"`
-	Key    string          `json:"key,omitempty"`
-	Value  json.RawMessage `json:"value,omitempty"`
+	Limits *budget.Limits `json:"limits,omitempty"`
+	Start  int64          `json:"start,omitempty"` // token of the unit's start
+	Holder string         `json:"holder,omitempty"`
+	Plan   string         `json:"plan,omitempty"`
+	To     string         `json:"to,omitempty"`
+	Over   string         `json:"over,omitempty"` // the plan whose begun permit this one takes the place of
+	Cold   *float64       `json:"cold,omitempty"`
+	Avoids []string       `json:"avoids,omitempty"`
+	Key    string         `json:"key,omitempty"`
+	// What writes about versions of nodes' settings set; Token is a node's start, Value the content.
+	Number   int64           `json:"number,omitempty"`
+	Hash     string          `json:"hash,omitempty"`
+	Replaces int64           `json:"replaces,omitempty"`
+	Stages   []float64       `json:"stages,omitempty"`
+	Stage    int             `json:"stage,omitempty"`
+	Refused  string          `json:"refused,omitempty"`
+	Value    json.RawMessage `json:"value,omitempty"`
 }
 
 // Answer is what became of a write.
@@ -184,7 +191,7 @@
 		return s.register(op)
 	case Update, Remove, Expire, Suspect, Trust, Warm:
 		return s.change(op)
-	case SetLimits, Permit, Begin, Return, Gone, Avoid, Put:
+	case SetLimits, Permit, Begin, Return, Gone, Avoid, Put, Propose, GoBack, Ack, Report, Commit, Withdraw, Halt:
 		return s.agree(op)
 	case Member:
 		if op.Address == "" {
