Versions of nodes' settings, committed by a quorum of each zone's nodes

Need: settings reached each node by its own SIGHUP, and nobody knew which version ran where. Off in run: no key, no thread.

A node that runs what is only proposed is named by the judge, and the registry halts the version.

--- a/cmd/umberbank/fleet.go
+++ b/cmd/umberbank/fleet.go
@@ -27,6 +27,7 @@
 	Halt    fleetHaltCmd    `cmd:"" help:"Let nothing of a release begin any more."`
 	Resume  fleetResumeCmd  `cmd:"" help:"Lift a halt."`
 	Back    fleetBackCmd    `cmd:"" help:"Halt a release and undo it, newest change first."`
+	Config  fleetConfigCmd  `cmd:"" help:"Versions of nodes' settings, committed by a quorum of them."`
 	Control fleetControlCmd `cmd:"" help:"Run a controller; of any number one acts."`
 	Agent   fleetAgentCmd   `cmd:"" help:"Run a unit: start its process, hold its lease, and change its version by permit."`
 	Trial   fleetTrialCmd   `cmd:"" help:"Play faults on releases of real processes, and judge what they did."`
--- a/cmd/umberbank/fleet_test.go
+++ b/cmd/umberbank/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/url"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -36,6 +37,8 @@
 				}
 			}
 		})
+	case "eager":
+		eager(ctx)
 	case "reckless":
 		wrong(ctx, func(w *client.Writer, v *state.Agreed) {
 			for _, u := range v.Units {
@@ -66,6 +69,44 @@
 	}
 }
 
+// eager is a node that runs what is proposed before anybody tells it to.
+func eager(ctx context.Context) {
+	text, err := os.ReadFile(os.Getenv("ROUTER_CONFIG"))
+	if err != nil {
+		panic(err)
+	}
+	var cfg struct {
+		Name   string
+		Agreed struct {
+			Endpoints  []string
+			Tier, Zone string
+		}
+	}
+	if err := json.Unmarshal(text, &cfg); err != nil {
+		panic(err)
+	}
+	w, err := client.NewWriter(client.Options{Endpoints: cfg.Agreed.Endpoints})
+	if err != nil {
+		panic(err)
+	}
+	h := client.NewHolder(w)
+	if err := h.Hold(ctx, &state.Entry{UID: cfg.Name, Endpoint: "x:1", Role: state.Node, Tier: cfg.Agreed.Tier, Zone: cfg.Agreed.Zone, Capacity: 1,
+		State: state.Serving, TTLMS: 600}); err != nil {
+		panic(err)
+	}
+	go h.Run(ctx, 600*time.Millisecond)
+	report := state.Op{Kind: state.Report, UID: cfg.Name}
+	for ; ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
+		report.Token, report.ID = h.Token(cfg.Name), ""
+		w.One(ctx, report)
+		v, err := w.Agreed(ctx, url.Values{"node": {cfg.Name}}, 0, 0)
+		if err == nil && v.Config != nil && v.Config.Pending != nil && v.Config.Pending.Number > report.Number {
+			report.Number, report.Hash = v.Config.Pending.Number, v.Config.Pending.Hash
+			fmt.Printf("agreed: runs version %d %.12s at %d\n", report.Number, report.Hash, host.Now())
+		}
+	}
+}
+
 // as is the command of this binary in a mode.
 func as(t *testing.T, mode string) []string {
 	t.Helper()
@@ -89,6 +130,26 @@
 	}
 }
 
+// Versions of settings on real nodes, with faults; and a node that runs what is only proposed is named, by the judge and by the
+// registry, which halts the version.
+func TestFleetConfigTrial(t *testing.T) {
+	t.Parallel()
+	r, err := trial.RunConfig(t.Context(), trial.Options{Seed: 4, For: 3 * time.Second, Program: as(t, "program")}, 6)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(r.Broken) > 0 || r.Versions == 0 {
+		t.Errorf("%+v", r)
+	}
+	r, err = trial.RunConfig(t.Context(), trial.Options{Seed: 4, For: time.Second, Calm: true, Program: as(t, "program"), Node: as(t, "eager")}, 6)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Uncommitted == 0 {
+		t.Errorf("a node that runs what is proposed was not named: %+v", r)
+	}
+}
+
 // The judge names what wrong processes did: controllers that act without the lead, one that has the dead forgotten, one
 // that drains without a permit. Where the dead are not forgotten they are counted, and it names nothing.
 func TestFleetTrialIsProven(t *testing.T) {
--- a/cmd/umberbank/fleettrial.go
+++ b/cmd/umberbank/fleettrial.go
@@ -14,6 +14,8 @@
 	Seed     uint64 `help:"The first seed." default:"1"`
 	Parallel int    `help:"How many runs at once; each is some twenty processes." default:"2"`
 	Calm     bool   `help:"Play no faults."`
+	Config   bool   `help:"Versions of settings, on real nodes, in place of releases and drains."`
+	Nodes    int    `help:"With --config: how many." default:"9"`
 	JSON     bool   `help:"Print one JSON object for each run, and one for all at the end."`
 }
 
@@ -41,14 +43,77 @@
 	SettleS    float64 `json:"settle_s_max"`
 }
 
+// fleetConfigSum is what came of all runs with versions of settings.
+type fleetConfigSum struct {
+	Runs        int     `json:"runs"`
+	Failed      int     `json:"failed"`
+	Faults      int     `json:"faults"`
+	Versions    int     `json:"versions"`
+	Uncommitted int     `json:"versions_uncommitted"`
+	AtOnceMost  int     `json:"versions_at_once_max"`
+	WentBack    int     `json:"went_back"`
+	TwoActors   int     `json:"two_actors"`
+	SpreadMS    float64 `json:"spread_ms_max"`
+	SettleS     float64 `json:"settle_s_max"`
+}
+
+// config plays versions of settings.
+func (c *fleetTrialCmd) config(a *app) error {
+	if c.Nodes < 3 || c.Nodes > 99 {
+		return fmt.Errorf("--nodes: %d is not between 3 and 99", c.Nodes)
+	}
+	results, err := runs(a, c.Runs, c.Parallel, func(ctx context.Context, i int) (*trial.ConfigResult, error) {
+		return trial.RunConfig(ctx, trial.Options{Seed: c.Seed + uint64(i), Calm: c.Calm}, c.Nodes)
+	})
+	if err != nil {
+		return err
+	}
+	var sum fleetConfigSum
+	for _, r := range results {
+		sum.Runs++
+		sum.Faults, sum.Versions, sum.Uncommitted = sum.Faults+len(r.Faults), sum.Versions+r.Versions, sum.Uncommitted+r.Uncommitted
+		sum.WentBack, sum.TwoActors = sum.WentBack+r.WentBack, sum.TwoActors+r.TwoActors
+		sum.AtOnceMost, sum.SpreadMS, sum.SettleS = max(sum.AtOnceMost, r.AtOnceMost), max(sum.SpreadMS, r.SpreadMS), max(sum.SettleS, r.SettleS)
+		if len(r.Broken) > 0 {
+			sum.Failed++
+		}
+		if err := c.print(a, r, r.Seed, r.Broken, r.Faults); err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		err = json.NewEncoder(a.out).Encode(sum)
+	} else {
+		_, err = fmt.Fprintf(a.out, "%d runs, %d failed; %d faults, %d versions ran; uncommitted %d, contents at once %d, went back %d, two actors %d; all nodes on the last within %.0f ms, settled within %.1f s\n",
+			sum.Runs, sum.Failed, sum.Faults, sum.Versions, sum.Uncommitted, sum.AtOnceMost, sum.WentBack, sum.TwoActors, sum.SpreadMS, sum.SettleS)
+	}
+	if err == nil && sum.Failed > 0 {
+		err = errNotHeld
+	}
+	return err
+}
+
+// print prints one run: all of it, or what did not hold.
+func (c *fleetTrialCmd) print(a *app, r any, seed uint64, broken, faults []string) (err error) {
+	switch {
+	case c.JSON:
+		err = json.NewEncoder(a.out).Encode(r)
+	case len(broken) > 0:
+		_, err = fmt.Fprintf(a.out, "BROKEN seed %d: %s\n  after %s\n", seed, strings.Join(broken, "; "), strings.Join(faults, ", "))
+	}
+	return err
+}
+
 func (c *fleetTrialCmd) Run(a *app) error {
+	if c.Config {
+		return c.config(a)
+	}
 	results, err := runs(a, c.Runs, c.Parallel, func(ctx context.Context, i int) (*trial.Result, error) {
 		return trial.Run(ctx, trial.Options{Seed: c.Seed + uint64(i), Calm: c.Calm})
 	})
 	if err != nil {
 		return err
 	}
-	print := json.NewEncoder(a.out).Encode
 	var sum fleetTrialSum
 	for _, r := range results {
 		sum.Runs++
@@ -58,17 +123,12 @@
 		if len(r.Broken) > 0 {
 			sum.Failed++
 		}
-		switch {
-		case c.JSON:
-			if err := print(r); err != nil {
-				return err
-			}
-		case len(r.Broken) > 0:
-			fmt.Fprintf(a.out, "BROKEN seed %d: %s\n  after %s\n", r.Seed, strings.Join(r.Broken, "; "), strings.Join(r.Faults, ", "))
+		if err := c.print(a, r, r.Seed, r.Broken, r.Faults); err != nil {
+			return err
 		}
 	}
 	if c.JSON {
-		if err := print(sum); err != nil {
+		if err := json.NewEncoder(a.out).Encode(sum); err != nil {
 			return err
 		}
 	} else {
--- a/internal/agree/host/control.go
+++ b/internal/agree/host/control.go
@@ -5,9 +5,11 @@
 	"log/slog"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"hollyspur/internal/agree/release"
+	"hollyspur/internal/agree/rollout"
 	"hollyspur/internal/registry/client"
 	"hollyspur/internal/registry/replica"
 	"hollyspur/internal/registry/state"
@@ -31,6 +33,7 @@
 	writer  *client.Writer
 	token   int64 // of the lead; 0: another has it, or nobody
 	machine release.Machine
+	rollout rollout.Machine
 }
 
 // look is how often a controller looks when nothing changes.
@@ -107,9 +110,27 @@
 	c.token = 0
 }
 
+// note writes an event of this controller down.
+func (c *Controller) note(e Event) {
+	e.Who = c.Name
+	if err := c.Journal.note(e); err != nil {
+		c.Log.Error("journal", "error", err)
+	}
+}
+
 // act carries the machine's orders out. Each is fenced by the lead, so that one that comes late comes to nothing; after the
 // first that does not go through the rest waits for the next look.
 func (c *Controller) act(ctx context.Context, v *state.Agreed, now time.Duration) {
+	if c.rollout.Next(v.Book, now) {
+		p := v.Book.Pending
+		sent := Now()
+		c.note(Event{What: "asks", Version: strconv.FormatInt(p.Number, 10), Token: c.token}) // it may die before the answer
+		op := state.Op{Kind: state.Commit, Number: p.Number, Stage: v.Book.Stage, Fence: &state.Fence{UID: Lead, Token: c.token}}
+		if a, err := c.writer.One(ctx, op); err == nil && a.Fault == "" {
+			c.note(Event{What: "act", Version: strconv.FormatInt(p.Number, 10), Token: c.token, Sent: sent, Why: "stage"})
+			c.Log.Info("acts", "controller", c.Name, "version", p.Number, "stage", v.Book.Stage)
+		}
+	}
 	orders := c.machine.Next(release.View{Units: v.Units, Outs: v.Outs, Permits: v.Permits, Records: v.Records}, now)
 	for _, o := range orders {
 		o.Fence = &state.Fence{UID: Lead, Token: c.token}
@@ -130,9 +151,7 @@
 			return // over the budget, or another look tells more
 		}
 		c.machine.Granted(o)
-		if err := c.Journal.note(Event{Who: c.Name, What: "act", Unit: o.UID, Plan: o.Plan, Token: c.token, Sent: sent, Why: o.Why}); err != nil {
-			c.Log.Error("journal", "error", err)
-		}
+		c.note(Event{What: "act", Unit: o.UID, Plan: o.Plan, Token: c.token, Sent: sent, Why: o.Why})
 		if o.Why != "" {
 			c.Log.Info("acts", "controller", c.Name, "kind", o.Kind, "why", o.Why)
 		}
--- a/internal/agree/rollout/rollout.go
+++ b/internal/agree/rollout/rollout.go
@@ -26,7 +26,8 @@
 	Number   int64     `json:"number"`
 	Hash     string    `json:"hash"` // of its content
 	Replaces int64     `json:"replaces"`
-	Stages   []float64 `json:"stages"` // shares of all nodes, rising; the last is 1
+	Stages   []float64 `json:"stages"`            // shares of all nodes, rising; the last is 1
+	BakeMS   int64     `json:"bake_ms,omitempty"` // a stage must stand so long before the next, in milliseconds
 }
 
 // Node is one node's process.
@@ -132,7 +133,7 @@
 
 func (b *Book) put(hash string, replaces int64, stages []float64) *Version {
 	b.Highest++
-	b.Pending = &Version{b.Highest, hash, replaces, stages}
+	b.Pending = &Version{Number: b.Highest, Hash: hash, Replaces: replaces, Stages: stages}
 	b.Stage, b.Halted = 0, ""
 	b.Hashes[b.Highest] = hash
 	for _, n := range b.Nodes {
@@ -284,10 +285,7 @@
 	case b.Halted != "":
 		return errors.New("halted: " + b.Halted)
 	}
-	if err := b.Quorum(); err != nil {
-		return err
-	}
-	if err := b.behind(); err != nil {
+	if err := b.Ready(); err != nil {
 		return err
 	}
 	ids := b.ids()
@@ -325,6 +323,14 @@
 	return nil
 }
 
+// Ready says why the next stage's nodes cannot be told yet; nil: they can.
+func (b *Book) Ready() error {
+	if err := b.Quorum(); err != nil {
+		return err
+	}
+	return b.behind()
+}
+
 // behind says which node of the stages told so far does not run what it was told; nil: none.
 func (b *Book) behind() error {
 	if b.Stage == 0 {
--- a/internal/agree/trial/judge.go
+++ b/internal/agree/trial/judge.go
@@ -126,18 +126,23 @@
 			delete(halts, e.Plan)
 		case "act":
 			res.Acts++
-			if e.Token == 0 {
-				broken(&res.TwoActors, "%s acted without the lead", e.Who)
-			} else if e.Token < lead.Token && e.Sent > lead.At {
-				broken(&res.TwoActors, "%s acted with the lead %d after %s had with %d", e.Who, e.Token, lead.Who, lead.Token)
-			}
-			if e.Token > lead.Token {
-				lead = e
-			}
+			r.judgeAct(&lead, e, func(why string) { broken(&res.TwoActors, "%s", why) })
 		}
 	}
 }
 
+// judgeAct judges a controller's act by the one before with the highest lead.
+func (r *record) judgeAct(lead *host.Event, e host.Event, broken func(string)) {
+	if e.Token == 0 {
+		broken(e.Who + " acted without the lead")
+	} else if e.Token < lead.Token && e.Sent > lead.At {
+		broken(fmt.Sprintf("%s acted with the lead %d after %s had with %d", e.Who, e.Token, lead.Who, lead.Token))
+	}
+	if e.Token > lead.Token {
+		*lead = e
+	}
+}
+
 // overBudget says where more is out than may be, as a unit is taken out.
 func overBudget(lives map[string]*life, e host.Event, calm time.Duration, disturbed int, broken func(string)) {
 	of := lives[e.Unit]
--- a/internal/agree/trial/judge_test.go
+++ b/internal/agree/trial/judge_test.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -48,3 +49,33 @@
 		}
 	}
 }
+
+// What nodes ran, in seconds, and what the judge makes of it.
+func TestJudgeConfig(t *testing.T) {
+	ev := func(s float64, who, what, version, content string) host.Event {
+		return host.Event{At: time.Duration(s * float64(time.Second)), Who: who, Unit: who, What: what, Version: version, Why: content}
+	}
+	zones := map[string]string{"n0": "a", "n1": "a", "n2": "b"}
+	began := []host.Event{ev(0, "n0", "runs", "0", "-"), ev(0, "n1", "runs", "0", "-"), ev(0, "n2", "runs", "0", "-")}
+	agreed := append(began, ev(1, "n0", "could run", "1", "x"), ev(1, "n1", "could run", "1", "x"), ev(1, "n2", "could run", "1", "x"), ev(2, "", "asks", "1", ""))
+	for name, c := range map[string]struct {
+		events               []host.Event
+		uncommitted, back, n int
+	}{
+		"as told":                    {events: append(agreed, ev(3, "n0", "runs", "1", "x"), ev(3, "n2", "runs", "1", "x"))},
+		"before it was told":         {events: append(began, ev(1, "n0", "could run", "1", "x"), ev(1.5, "n1", "could run", "1", "x"), ev(1.6, "n2", "could run", "1", "x"), ev(1.7, "n0", "runs", "1", "x"), ev(2, "", "asks", "1", "")), uncommitted: 1},
+		"without a zone":             {events: append(began, ev(1, "n0", "could run", "1", "x"), ev(1, "n1", "could run", "1", "x"), ev(2, "", "asks", "1", ""), ev(3, "n0", "runs", "1", "x")), uncommitted: 1},
+		"half of a zone":             {events: append(began, ev(1, "n0", "could run", "1", "x"), ev(1, "n2", "could run", "1", "x"), ev(2, "", "asks", "1", ""), ev(3, "n0", "runs", "1", "x")), uncommitted: 1},
+		"lower than before":          {events: append(agreed, ev(3, "n0", "runs", "1", "x"), ev(4, "n0", "runs", "0", "-")), back: 1},
+		"three contents":             {events: append(agreed, ev(2, "", "asks", "2", ""), ev(3, "n0", "runs", "1", "x"), ev(3, "n0", "could run", "2", "y"), ev(3, "n1", "could run", "2", "y"), ev(3, "n2", "could run", "2", "y"), ev(4, "n1", "runs", "2", "y")), n: 1},
+		"the third runs nowhere now": {events: append(agreed, ev(2, "", "asks", "2", ""), ev(3, "n0", "runs", "1", "x"), ev(3, "n0", "could run", "2", "y"), ev(3, "n1", "could run", "2", "y"), ev(3, "n2", "could run", "2", "y"), ev(3.5, "n0", "killed", "", ""), ev(4, "n1", "runs", "2", "y"))},
+	} {
+		r := newRecord()
+		r.events = slices.Clone(c.events)
+		var res ConfigResult
+		r.judgeConfig(&res, zones)
+		if res.Uncommitted != c.uncommitted || res.WentBack != c.back || (res.AtOnceMost > 2) != (c.n > 0) || len(res.Broken) != c.uncommitted+c.back+c.n {
+			t.Errorf("%s: %+v", name, res)
+		}
+	}
+}
--- a/internal/agree/trial/trial.go
+++ b/internal/agree/trial/trial.go
@@ -36,6 +36,8 @@
 	Log     func(format string, args ...any)
 	// Beside starts one more process, such as a wrong one, with the registry's addresses and a folder for its journal.
 	Beside func(at []string, dir string) []string
+	// Node is a command in the place of the first node of a trial of settings, with the same environment.
+	Node []string
 	// Controller has more arguments for every controller.
 	Controller []string
 	Dead       []string // units that are killed before the release, long enough for all to know, and stay so for the run
@@ -134,11 +136,12 @@
 	defaultFor   = 6 * time.Second
 	startWithin  = 30 * time.Second
 	settleWithin = 60 * time.Second
+	wrongWithin  = 2 * time.Second // where a process is wrong, and the site may never settle
 	staffWithin  = 3 * time.Second
 )
 
-// Run plays one run.
-func Run(ctx context.Context, opt Options) (*Result, error) {
+// newSite returns a site of which nothing runs yet.
+func newSite(opt Options, res *Result) (*site, error) {
 	if opt.For == 0 {
 		opt.For = defaultFor
 	}
@@ -152,7 +155,15 @@
 		}
 		opt.Program = []string{self}
 	}
-	s := &site{opt: opt, launch: procs.New(), r: rand.New(rand.NewPCG(opt.Seed, 7)), res: &Result{Seed: opt.Seed}, record: newRecord()}
+	return &site{opt: opt, launch: procs.New(), r: rand.New(rand.NewPCG(opt.Seed, 7)), res: res, record: newRecord()}, nil
+}
+
+// Run plays one run.
+func Run(ctx context.Context, opt Options) (*Result, error) {
+	s, err := newSite(opt, &Result{Seed: opt.Seed})
+	if err != nil {
+		return nil, err
+	}
 	defer s.close()
 	if err := s.start(ctx); err != nil {
 		return nil, err
@@ -190,18 +201,12 @@
 	}
 }
 
-// start starts all processes, and waits until every unit is registered and warm.
-func (s *site) start(ctx context.Context) (err error) {
+// registry starts the replicas, in a folder for all that the trial writes.
+func (s *site) registry(ctx context.Context) (err error) {
 	if s.dir, err = os.MkdirTemp("", "umberbank-fleet-"); err != nil {
 		return err
 	}
-	for name, text := range map[string]string{"limits.toml": limits, "plan.toml": plan} {
-		if err := os.WriteFile(filepath.Join(s.dir, name), []byte(text), 0o600); err != nil {
-			return err
-		}
-	}
-	serve := append(s.opt.Program[:len(s.opt.Program):len(s.opt.Program)], "registry", "serve")
-	if s.cluster, err = cluster.New(serve, 3, ""); err != nil {
+	if s.cluster, err = cluster.New(s.program("registry", "serve"), 3, ""); err != nil {
 		return err
 	}
 	for i := range s.cluster.Len() {
@@ -209,11 +214,39 @@
 			return err
 		}
 	}
+	return s.cluster.Await(ctx)
+}
+
+// program is a command line of the program.
+func (s *site) program(args ...string) []string {
+	return append(s.opt.Program[:len(s.opt.Program):len(s.opt.Program)], args...)
+}
+
+// controllers starts three of them.
+func (s *site) controllers() error {
+	for i := range 3 {
+		name := fmt.Sprint("c", i)
+		p, err := s.process(name, "control", append([]string{"--name", name, "--ttl", "1s"}, s.opt.Controller...))
+		if err != nil {
+			return err
+		}
+		s.controls = append(s.controls, p)
+	}
+	return nil
+}
+
+// start starts all processes, and waits until every unit is registered and warm.
+func (s *site) start(ctx context.Context) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, startWithin)
 	defer cancel()
-	if err := s.cluster.Await(ctx); err != nil {
+	if err := s.registry(ctx); err != nil {
 		return err
 	}
+	for name, text := range map[string]string{"limits.toml": limits, "plan.toml": plan} {
+		if err := os.WriteFile(filepath.Join(s.dir, name), []byte(text), 0o600); err != nil {
+			return err
+		}
+	}
 	if out, err := s.staff(ctx, "budget", filepath.Join(s.dir, "limits.toml")); err != nil {
 		return fmt.Errorf("%w: %s", err, out)
 	}
@@ -229,23 +262,16 @@
 		}
 		s.units = append(s.units, p)
 	}
-	for i := range 3 {
-		name := fmt.Sprint("c", i)
-		p, err := s.process(name, "control", append([]string{"--name", name, "--ttl", "1s"}, s.opt.Controller...))
-		if err != nil {
-			return err
-		}
-		s.controls = append(s.controls, p)
+	if err := s.controllers(); err != nil {
+		return err
 	}
 	return s.await(ctx, "all units are to be registered and warm", func(v *state.Agreed) bool {
 		return len(v.Units) == servers+nodes && len(v.Outs) == 0 && v.Lead != nil
 	})
 }
 
-// process starts a process of the program with links of its own.
-func (s *site) process(name, command string, args []string) (*process, error) {
-	p := &process{name: name, Process: procs.Process{Launcher: s.launch, Log: filepath.Join(s.dir, name+".log")}}
-	var at []string
+// links gives a process its own way to each replica.
+func (s *site) links(p *process) (at []string, err error) {
 	for _, to := range s.cluster.Addresses() {
 		l, err := relay.Listen("127.0.0.1", to)
 		if err != nil {
@@ -254,8 +280,17 @@
 		p.links = append(p.links, l)
 		at = append(at, l.Addr())
 	}
-	p.SetCommand(append(append(s.opt.Program[:len(s.opt.Program):len(s.opt.Program)], "fleet", command, "--at", strings.Join(at, ","),
-		"--journal", filepath.Join(s.dir, name+".events")), args...))
+	return at, nil
+}
+
+// process starts a process of the program with links of its own.
+func (s *site) process(name, command string, args []string) (*process, error) {
+	p := &process{name: name, Process: procs.Process{Launcher: s.launch, Log: filepath.Join(s.dir, name+".log")}}
+	at, err := s.links(p)
+	if err != nil {
+		return nil, err
+	}
+	p.SetCommand(append(s.program("fleet", command, "--at", strings.Join(at, ","), "--journal", filepath.Join(s.dir, name+".events")), args...))
 	return p, p.Start()
 }
 
@@ -263,8 +298,8 @@
 func (s *site) staff(ctx context.Context, args ...string) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, staffWithin+time.Second)
 	defer cancel()
-	all := append(s.opt.Program[1:len(s.opt.Program):len(s.opt.Program)], "fleet", args[0], "--at", strings.Join(s.cluster.Addresses(), ","), "--within", staffWithin.String())
-	cmd := exec.CommandContext(ctx, s.opt.Program[0], append(all, args[1:]...)...)
+	all := append(append(s.program("fleet"), args...), "--at", strings.Join(s.cluster.Addresses(), ","), "--within", staffWithin.String())
+	cmd := exec.CommandContext(ctx, all[0], all[1:]...)
 	var out bytes.Buffer
 	cmd.Stdout, cmd.Stderr = &out, &out
 	err := cmd.Run()
@@ -455,14 +490,22 @@
 	})
 }
 
-// settle ends all faults, and waits until every unit runs what it should and nobody holds a permit.
-func (s *site) settle(ctx context.Context, back bool) error {
+// heal lets every process run again.
+func (s *site) heal() error {
 	s.cluster.Heal()
 	for _, p := range append(s.units, s.controls...) {
 		if err := p.Start(); err != nil {
 			return err
 		}
 	}
+	return nil
+}
+
+// settle ends all faults, and waits until every unit runs what it should and nobody holds a permit.
+func (s *site) settle(ctx context.Context, back bool) error {
+	if err := s.heal(); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, settleWithin)
 	defer cancel()
 	if err := s.cluster.Await(ctx); err != nil {
--- /dev/null
+++ b/internal/node/agreed.go
@@ -0,0 +1,286 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"log"
+	"net/url"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/google/renameio/v2"
+	"golang.org/x/sys/unix"
+
+	"hollyspur/internal/registry/client"
+	"hollyspur/internal/registry/state"
+)
+
+// Agreed says that a node takes its settings from a site's registry, in versions that its nodes have agreed on. Without
+// endpoints it does not.
+type Agreed struct {
+	Endpoints []string `json:"endpoints"`
+	Tier      string   `json:"tier"` // whose budget its process counts in
+	Zone      string   `json:"zone"`
+	Region    string   `json:"region"`
+	SendsTo   string   `json:"sends_to"` // the tier that it sends to
+	Capacity  float64  `json:"capacity"` // 0: 1
+	TTLMS     int64    `json:"ttl_ms"`   // of its lease; 0: 2,000
+	ByAgent   bool     `json:"by_agent"` // an agent beside it holds its entry
+	Keep      string   `json:"keep"`     // a file that keeps the version over restarts, where there is a disk; "": none
+}
+
+func (a *Agreed) check() error {
+	switch {
+	case len(a.Endpoints) == 0:
+		return nil
+	case a.Tier == "" && !a.ByAgent:
+		return errors.New("agreed.tier: missing")
+	case a.Capacity < 0 || a.TTLMS < 0:
+		return errors.New("agreed.capacity, agreed.ttl_ms: negative")
+	}
+	return nil
+}
+
+// kept is the version that a node runs, as it keeps it.
+type kept struct {
+	Number   int64           `json:"number"`
+	Hash     string          `json:"hash"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// follower follows what the site has agreed on for this node. It runs beside the loop, on a goroutine of its own, and hands
+// over settings as a reload does, in one step of the loop; traffic never waits for it.
+type follower struct {
+	n       *Node
+	cfg     Agreed
+	writer  *client.Writer
+	holder  *client.Holder // nil: an agent holds the entry
+	running kept           // number 0: what the node was started with
+	looked  kept           // the proposed version that was looked at last, and why it cannot be run
+	refused string
+}
+
+// newFollower returns what follows the site's versions; nil: nothing does.
+func newFollower(n *Node, run kept) (*follower, error) {
+	a := n.cfg.Agreed
+	if len(a.Endpoints) == 0 {
+		return nil, nil
+	}
+	w, err := client.NewWriter(client.Options{Endpoints: a.Endpoints, RestMost: 300 * time.Millisecond})
+	if err != nil {
+		return nil, err
+	}
+	return &follower{n: n, cfg: a, writer: w, running: run}, nil
+}
+
+// withKept is the configuration with the version that an earlier process kept. What cannot be read or run is passed over.
+func withKept(cfg Config) (Config, kept) {
+	if cfg.Agreed.Keep == "" {
+		return cfg, kept{}
+	}
+	text, err := os.ReadFile(cfg.Agreed.Keep)
+	if errors.Is(err, os.ErrNotExist) {
+		return cfg, kept{}
+	}
+	var k kept
+	if err == nil {
+		if err = json.Unmarshal(text, &k); err == nil && state.Hash(k.Settings) != k.Hash {
+			err = errors.New("its hash is another")
+		}
+	}
+	if err == nil {
+		var with Config
+		if with, err = cfg.withSettings(k.Settings); err == nil {
+			return with, k
+		}
+	}
+	log.Printf("agreed: %s: passed over: %v", cfg.Agreed.Keep, err)
+	return cfg, kept{}
+}
+
+// withSettings is a configuration with other settings, as if its file had held them.
+func (c Config) withSettings(settings json.RawMessage) (Config, error) {
+	var file map[string]json.RawMessage
+	if err := json.Unmarshal(c.text, &file); err != nil {
+		return Config{}, err
+	}
+	file["settings"] = settings
+	text, err := json.Marshal(file)
+	if err != nil {
+		return Config{}, err
+	}
+	with, err := parseConfig(text)
+	if err != nil {
+		return Config{}, err
+	}
+	with.Control, with.AcceptFD = c.Control, c.AcceptFD
+	return with, nil
+}
+
+const (
+	agreedTTL  = 2 * time.Second
+	agreedWait = time.Second
+	agreedRest = 300 * time.Millisecond
+)
+
+// run follows until ctx ends. While the registry is away the node runs what it was last told, for as long as that lasts.
+func (f *follower) run(ctx context.Context) {
+	f.say("runs", f.running)
+	var rev int64
+	for ctx.Err() == nil {
+		if err := f.register(ctx); err != nil {
+			if errors.Is(err, client.ErrFenced) {
+				log.Printf("agreed: another process is this node: %v", err)
+				return
+			}
+			pauseFor(ctx, agreedRest)
+			continue
+		}
+		has := strconv.FormatInt(f.running.Number, 10) + "," + strconv.FormatInt(f.looked.Number, 10)
+		got, err := f.writer.Agreed(ctx, url.Values{"node": {f.n.cfg.Name}, "has": {has}}, rev, agreedWait)
+		if err != nil {
+			rev = 0
+			continue
+		}
+		rev = got.Rev
+		if got.Config != nil && got.Config.Node != nil && (f.holder == nil || got.Config.Node.Start == f.holder.Token(f.n.cfg.Name)) {
+			f.follow(ctx, got.Config)
+		}
+	}
+}
+
+func pauseFor(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// register enters this start of the node's process, once.
+func (f *follower) register(ctx context.Context) error {
+	name := f.n.cfg.Name
+	if f.cfg.ByAgent {
+		return nil
+	}
+	if f.holder != nil {
+		if f.holder.Token(name) == 0 {
+			return client.ErrFenced
+		}
+		return nil
+	}
+	boot, err := f.writer.NextBoot(ctx, name, time.Now())
+	if err != nil {
+		return err
+	}
+	ttl := agreedTTL
+	if f.cfg.TTLMS > 0 {
+		ttl = time.Duration(f.cfg.TTLMS) * time.Millisecond
+	}
+	e := &state.Entry{UID: name, Endpoint: f.n.Addr().String(), Role: state.Node, Tier: f.cfg.Tier, Zone: f.cfg.Zone, Region: f.cfg.Region,
+		Kind: f.cfg.SendsTo, Capacity: f.cfg.Capacity, State: state.Serving, BootMS: boot, TTLMS: ttl.Milliseconds()}
+	if e.Capacity == 0 {
+		e.Capacity = 1
+	}
+	h := client.NewHolder(f.writer)
+	holding, cancel := context.WithTimeout(ctx, agreedWait)
+	defer cancel()
+	if err := h.Hold(holding, e); err != nil {
+		return err
+	}
+	f.holder = h
+	go h.Run(ctx, ttl)
+	return nil
+}
+
+// follow does what this node is told, and says what came of it.
+func (f *follower) follow(ctx context.Context, c *state.NodeConfig) {
+	start := c.Node.Start
+	if c.Told.Number > f.running.Number {
+		f.activate(c.Told)
+	}
+	if !c.Node.Known || c.Node.Running != f.running.Number {
+		f.writer.One(ctx, state.Op{Kind: state.Report, UID: f.n.cfg.Name, Token: start, Number: f.running.Number, Hash: f.running.Hash}) // another look tells whether it was heard
+	}
+	p := c.Pending
+	if p == nil || c.Node.Acked == p.Number || c.Node.Refused != "" || p.Number <= f.running.Number {
+		return
+	}
+	if f.looked.Number != p.Number {
+		if p.Settings == nil {
+			return
+		}
+		f.looked, f.refused = kept{p.Number, p.Hash, p.Settings}, ""
+		if err := f.n.couldRun(p.Settings); err != nil {
+			f.refused = err.Error()
+		} else if state.Hash(p.Settings) != p.Hash {
+			f.refused = "its hash is another"
+		}
+	}
+	if f.refused == "" {
+		f.say("could run", f.looked)
+	}
+	f.writer.One(ctx, state.Op{Kind: state.Ack, UID: f.n.cfg.Name, Token: start, Number: p.Number, Hash: p.Hash, Refused: f.refused})
+}
+
+// activate runs a version from now on, and keeps it for the process after this one. It is kept first: a process that dies in
+// between then starts with what it was told.
+func (f *follower) activate(c state.Content) {
+	next := kept{c.Number, c.Hash, c.Settings}
+	if c.Settings == nil && f.looked.Number == c.Number {
+		next.Settings = f.looked.Settings
+	}
+	if next.Settings == nil || state.Hash(next.Settings) != c.Hash {
+		return
+	}
+	if f.cfg.Keep != "" {
+		text, err := json.Marshal(next)
+		if err == nil {
+			err = renameio.WriteFile(f.cfg.Keep, text, 0o600)
+		}
+		if err != nil {
+			log.Printf("agreed: version %d is not kept: %v", c.Number, err)
+		}
+	}
+	if err := f.n.runSettings(next.Settings); err != nil {
+		log.Printf("agreed: version %d cannot be run: %v", c.Number, err)
+		return
+	}
+	f.running = next
+	f.say("runs", next)
+}
+
+// say writes down what the node does, with the machine's monotonic clock, for who judges from outside.
+func (f *follower) say(what string, k kept) {
+	var t unix.Timespec
+	unix.ClockGettime(unix.CLOCK_MONOTONIC, &t) // it exists on every Linux
+	log.Printf("agreed: %s version %d %.12s at %d", what, k.Number, cmp.Or(k.Hash, "-"), t.Nano())
+}
+
+// couldRun says why the node could not run settings; nil: it could. It looks exactly as a reload does.
+func (n *Node) couldRun(settings json.RawMessage) error {
+	n.reloading.Lock()
+	defer n.reloading.Unlock()
+	cfg, err := n.now.withSettings(settings)
+	if err != nil {
+		return err
+	}
+	return reloadable(n.shape, cfg)
+}
+
+// runSettings takes settings over, as a reload of a file with them would.
+func (n *Node) runSettings(settings json.RawMessage) error {
+	n.reloading.Lock()
+	defer n.reloading.Unlock()
+	cfg, err := n.now.withSettings(settings)
+	if err != nil {
+		return err
+	}
+	if err := n.take(cfg); err != nil {
+		return err
+	}
+	n.agreed = settings
+	return nil
+}
--- /dev/null
+++ b/internal/node/agreed_test.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"hollyspur/internal/registry/state"
+)
+
+// agreedConfig is a configuration that takes its settings from a registry, which nobody answers for.
+func agreedConfig(t *testing.T, keep string) Config {
+	t.Helper()
+	text := strings.Replace(goodConfig, `"peers"`, `"agreed":{"endpoints":["127.0.0.1:1"],"tier":"front","keep":"`+keep+`"},"peers"`, 1)
+	text = strings.Replace(text, `"127.0.0.1:3000"`, `"127.0.0.1:0"`, 1)
+	cfg, err := parseConfig([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+// otherSettings are the settings of goodConfig with something else in their place.
+func otherSettings(t *testing.T, old, new string) json.RawMessage {
+	t.Helper()
+	var file struct{ Settings json.RawMessage }
+	if err := json.Unmarshal([]byte(goodConfig), &file); err != nil {
+		t.Fatal(err)
+	}
+	text, err := json.Marshal(json.RawMessage(strings.Replace(string(file.Settings), old, new, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// A version is looked at as at SIGHUP and changes nothing; told, it is run and kept, and the process after this one starts with
+// it. What was kept and is spoilt is passed over.
+func TestAgreedSettings(t *testing.T) {
+	t.Parallel()
+	keep := filepath.Join(t.TempDir(), "kept")
+	cfg := agreedConfig(t, keep)
+	cfg.Settings.MaxAttempts = 3
+	n, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go n.loop.run(t.Context())
+	for text, want := range map[string]string{`"bounds":{`: ".settings.limits is missing", `"limits":{`: "max-attempts is not over 0", `"limits":7,"l":{`: "cannot"} {
+		if err := n.couldRun(otherSettings(t, `"limits":{`, text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, want %s", text, err, want)
+		}
+	}
+	next := otherSettings(t, `"limits":{`, `"limits":{"max-attempts":4,`)
+	if err := n.couldRun(next); err != nil {
+		t.Fatal(err)
+	}
+	f := n.follower
+	if f.activate(state.Content{Number: 2, Hash: "another", Settings: next}); f.running.Number != 0 {
+		t.Error("it runs what has another hash")
+	}
+	f.activate(state.Content{Number: 2, Hash: state.Hash(next), Settings: next})
+	attempts := make(chan int)
+	n.loop.post(func() { attempts <- n.loop.maxAttempts })
+	if got := wait(t, attempts); got != 4 || f.running.Number != 2 {
+		t.Errorf("version %d with %d attempts", f.running.Number, got)
+	}
+	n.listener.Close()
+
+	again, kept := withKept(agreedConfig(t, keep))
+	if kept.Number != 2 || again.Settings.MaxAttempts != 4 {
+		t.Errorf("the next process starts with version %d, %d attempts", kept.Number, again.Settings.MaxAttempts)
+	}
+	text, err := os.ReadFile(keep)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, spoilt := range map[string][]byte{"cut": text[:len(text)/2], "changed": []byte(strings.Replace(string(text), "400", "401", 1)), "empty": nil} {
+		if err := os.WriteFile(keep, spoilt, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, kept := withKept(agreedConfig(t, keep)); kept.Number != 0 {
+			t.Errorf("%s: it starts with version %d", name, kept.Number)
+		}
+	}
+}
+
+// Settings that were agreed on stay at SIGHUP; the rest of the file is taken over.
+func TestReloadKeepsAgreed(t *testing.T) {
+	t.Parallel()
+	cfg := agreedConfig(t, "")
+	n, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { n.listener.Close() })
+	go n.loop.run(t.Context())
+	if err := n.runSettings(otherSettings(t, `"limits":{`, `"limits":{"max-attempts":4,`)); err != nil {
+		t.Fatal(err)
+	}
+	file := strings.Replace(strings.Replace(string(cfg.text), `"limits":{"conn`, `"limits":{"max-attempts":9,"conn`, 1), `"127.0.0.1:8500"`, `"127.0.0.1:8600"`, 1)
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(file), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := n.ReloadFile(path); err != nil {
+		t.Fatal(err)
+	}
+	type now struct {
+		attempts  int
+		discovery string
+	}
+	got := make(chan now)
+	n.loop.post(func() { got <- now{n.loop.maxAttempts, n.loop.discovery.addr} })
+	if v := wait(t, got); v != (now{4, "127.0.0.1:8600"}) {
+		t.Errorf("%+v", v)
+	}
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -26,9 +26,11 @@
 	Known     List    // the servers as this node last had them
 	Registry  Registry
 	State     State
+	Agreed    Agreed
 	Settings  hollyspur.Settings
 	Conns     wire.Connections
-	shape     any // the file as decoded, for a later one to be compared with
+	shape     any             // the file as decoded, for a later one to be compared with
+	text      json.RawMessage // and as it stands, where settings are agreed on
 }
 
 // Used where the configuration does not tell.
@@ -66,13 +68,17 @@
 		Known    json.RawMessage `json:"known"`
 		Registry Registry        `json:"registry"`
 		State    json.RawMessage `json:"state"`
+		Agreed   Agreed          `json:"agreed"`
 		Settings json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(text, &raw); err != nil {
 		return Config{}, err
 	}
 	c := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Control: raw.Control,
-		Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets, Registry: raw.Registry}
+		Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets, Registry: raw.Registry, Agreed: raw.Agreed}
+	if len(c.Agreed.Endpoints) > 0 {
+		c.text = text
+	}
 	err := json.Unmarshal(text, &c.shape)
 	if err != nil {
 		return Config{}, err
@@ -82,11 +88,16 @@
 			return Config{}, fmt.Errorf("%s: %q is no host:port", a.name, a.addr)
 		}
 	}
-	for i, addr := range c.Registry.Endpoints {
-		if _, _, err := net.SplitHostPort(addr); err != nil {
-			return Config{}, fmt.Errorf("registry.endpoints[%d]: %q is no host:port", i, addr)
+	for key, endpoints := range map[string][]string{"registry": c.Registry.Endpoints, "agreed": c.Agreed.Endpoints} {
+		for i, addr := range endpoints {
+			if _, _, err := net.SplitHostPort(addr); err != nil {
+				return Config{}, fmt.Errorf("%s.endpoints[%d]: %q is no host:port", key, i, addr)
+			}
 		}
 	}
+	if err := c.Agreed.check(); err != nil {
+		return Config{}, err
+	}
 	if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
 		return Config{}, fmt.Errorf("seed: %q is no hexadecimal number of 64 bits", raw.Seed)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log"
 	"net"
 	"os"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,9 +31,15 @@
 	keeper   *keeper        // nil: it keeps nothing for the process after it
 	linger   time.Duration  // how long a stopping node goes on as before
 	patience atomic.Int64   // how long callers may wait for what a stopping node has taken
-	shape    any            // of the configuration in force; see Config
-	serving  atomic.Bool    // callers are served
-	stopping atomic.Bool    // and will not be much longer
+	follower *follower      // nil: settings are not agreed on
+
+	reloading sync.Mutex      // of what follows, which a reload changes
+	shape     any             // of the configuration in force; see Config
+	now       Config          // that configuration
+	agreed    json.RawMessage // settings that were agreed on, if they were
+
+	serving  atomic.Bool // callers are served
+	stopping atomic.Bool // and will not be much longer
 }
 
 // reserved descriptors are for the listener, the watch, the log and the runtime.
@@ -39,11 +47,21 @@
 
 // New returns a node that listens.
 func New(cfg Config) (*Node, error) {
+	cfg, kept := withKept(cfg)
 	b, err := hollyspur.New(cfg.Settings, cfg.Seed)
 	if err != nil {
 		return nil, err
 	}
-	return newNode(cfg, b)
+	n, err := newNode(cfg, b)
+	if err != nil {
+		return nil, err
+	}
+	n.agreed = kept.Settings
+	if n.follower, err = newFollower(n, kept); err != nil {
+		n.listener.Close()
+		return nil, fmt.Errorf("agreed: %w", err)
+	}
+	return n, nil
 }
 
 func newNode(cfg Config, m module) (*Node, error) {
@@ -70,7 +88,7 @@
 	}
 	n.keeper = newKeeper(cfg)
 	n.patience.Store(int64(patienceFor(cfg.Settings)))
-	n.shape = cfg.shape
+	n.shape, n.now = cfg.shape, cfg
 	if cfg.Control != "" {
 		if n.control, err = newControl(cfg.Control, n.calls()); err != nil {
 			listener.Close()
@@ -182,6 +200,9 @@
 	if n.registry != nil {
 		go n.readRegistry(running)
 	}
+	if n.follower != nil {
+		go n.follower.run(running)
+	}
 	defer n.front.drain.off()
 	if n.turn != nil {
 		defer n.turn.close()
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -51,24 +51,36 @@
 }
 
 // ReloadFile reads the configuration anew and takes over what may change while the node runs, as Reload
-// does. Calls must not overlap.
+// does. Settings that the site has agreed on stay.
 func (n *Node) ReloadFile(path string) error {
 	cfg, err := LoadConfig(path)
+	n.reloading.Lock()
+	defer n.reloading.Unlock()
+	if err == nil && n.agreed != nil {
+		cfg, err = cfg.withSettings(n.agreed)
+	}
 	if err != nil {
 		n.loop.metrics.rejected.Add(1)
 		return err
 	}
-	return n.Reload(cfg)
+	return n.take(cfg)
 }
 
 // Reload takes over discovery's address and the settings, all in one step of the loop. A configuration
 // with any fault changes nothing.
 func (n *Node) Reload(cfg Config) error {
+	n.reloading.Lock()
+	defer n.reloading.Unlock()
+	return n.take(cfg)
+}
+
+// take is Reload with n.reloading held.
+func (n *Node) take(cfg Config) error {
 	if err := reloadable(n.shape, cfg); err != nil {
 		n.loop.metrics.rejected.Add(1)
 		return err
 	}
-	n.shape = cfg.shape
+	n.shape, n.now = cfg.shape, cfg
 	n.loop.post(func() {
 		n.loop.retune(cfg)
 		n.patience.Store(int64(patienceFor(cfg.Settings)))
--- a/internal/registry/state/agree.go
+++ b/internal/registry/state/agree.go
@@ -150,7 +150,7 @@
 			return Answer{Fault: Bad}
 		}
 		if v, err = s.book.Propose(Hash(op.Value), op.Replaces, op.Stages); err == nil {
-			s.configs[v.Number] = op.Value
+			s.configs[v.Number], v.BakeMS = op.Value, op.BakeMS
 		}
 	case GoBack:
 		content := s.configs[s.book.Committed.Number]
--- a/internal/registry/state/state.go
+++ b/internal/registry/state/state.go
@@ -86,6 +86,7 @@
 	Replaces int64           `json:"replaces,omitempty"`
 	Stages   []float64       `json:"stages,omitempty"`
 	Stage    int             `json:"stage,omitempty"`
+	BakeMS   int64           `json:"bake_ms,omitempty"`
 	Refused  string          `json:"refused,omitempty"`
 	Value    json.RawMessage `json:"value,omitempty"`
 }
