A call given up stays given up: it resets its connection; drains by budget in the lab

Causes: upstream.attempt gave up by a plain close, after which the system goes on sending; the relay passed on what a silence held though its sender had reset. Change: the node resets (SO_LINGER 0); a relay drops what a silence holds of a connection that was reset. A wrong node that gives up by a plain close is named by the oracle.

--- a/internal/lab/fault/fault.go
+++ b/internal/lab/fault/fault.go
@@ -219,6 +219,7 @@
 }
 
 func (p *Player) playServers(e *Event) {
+	refused := map[int]bool{} // drains that the budget did not allow
 	p.during(e, func(on bool) {
 		for _, i := range e.Servers {
 			s := p.World.Servers[i]
@@ -240,17 +241,32 @@
 			case "turn-away":
 				s.TurnAway(on)
 			case "drain":
-				if on {
-					s.Drain()
-				} else {
-					s.Down(false)
-					p.World.Loop.After(restartAfter, s.Start)
-				}
+				p.drain(i, on, refused)
 			}
 		}
 	})
 }
 
+// drain drains a server, by permit where there is a budget, or ends that by a restart.
+func (p *Player) drain(server int, on bool, refused map[int]bool) {
+	s := p.World.Servers[server]
+	switch {
+	case on && p.World.Site.Budget.Set():
+		refused[server] = true // until it is given
+		p.World.Backend.Take(server, func(why error) {
+			if why == nil {
+				refused[server] = false
+				s.Drain()
+			}
+		})
+	case on:
+		s.Drain()
+	case !refused[server]:
+		s.Down(false)
+		p.World.Loop.After(restartAfter, s.Start)
+	}
+}
+
 // restartAfter is how long a drained server is down before it starts anew.
 const restartAfter = 500 * time.Millisecond
 
--- a/internal/lab/fleet/registry.go
+++ b/internal/lab/fleet/registry.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net/url"
 	"sync"
 	"syscall"
 	"time"
@@ -68,6 +70,16 @@
 	if err := c.Await(starting); err != nil {
 		return err
 	}
+	if f.w.Site.Budget.Set() {
+		limits := f.w.Site.BudgetLimits()
+		w, err := client.NewWriter(client.Options{Endpoints: c.Addresses()})
+		if err != nil {
+			return err
+		}
+		if _, err := w.Write(starting, state.Op{Kind: state.SetLimits, Limits: &limits}); err != nil {
+			return err
+		}
+	}
 	for i := range f.w.Site.Servers {
 		r.hold(i, model.Serving)
 	}
@@ -99,7 +111,7 @@
 // entry is a server as it registers itself.
 func (r *registry) entry(server int, st model.State) *state.Entry {
 	s := &r.f.w.Site.Servers[server]
-	e := &state.Entry{UID: s.Name, Endpoint: "-", Zone: r.f.w.Site.Zones[s.Zone].Name, Region: r.f.w.Site.Zones[s.Zone].Region, Kind: s.Kind.Name,
+	e := &state.Entry{UID: s.Name, Endpoint: "-", Tier: r.f.w.Site.Tiers[s.Tier].Name, Zone: r.f.w.Site.Zones[s.Zone].Name, Region: r.f.w.Site.Zones[s.Zone].Region, Kind: s.Kind.Name,
 		Rack: s.Rack, State: st.String(), Capacity: s.Size(), TTLMS: time.Duration(r.f.w.Site.Registry.TTL).Milliseconds()}
 	if boot := r.f.w.Servers[server].Boot(); boot >= 0 {
 		e.BootMS = float64(r.f.began.Add(boot).UnixMicro()) / 1000
@@ -142,6 +154,57 @@
 	}
 }
 
+// takeWithin is how long a permit is asked for.
+const takeWithin = 2 * time.Second
+
+// Take asks the registry for a permit for a server, and begins it.
+func (f *Fleet) Take(server int, done func(error)) {
+	r := f.registry
+	if r == nil {
+		done(errors.New("a budget wants a registry on real processes"))
+		return
+	}
+	uid := f.w.Site.Servers[server].Name
+	r.running.Go(func() {
+		err := r.take(uid)
+		if err != nil {
+			f.opt.Log("%s is not drained: %v", uid, err)
+		}
+		f.w.Loop.Post(func() { done(err) })
+	})
+}
+
+func (r *registry) take(uid string) error {
+	ctx, cancel := context.WithTimeout(r.ctx, takeWithin)
+	defer cancel()
+	w, err := client.NewWriter(client.Options{Endpoints: r.cluster.Addresses()})
+	if err != nil {
+		return err
+	}
+	v, err := w.Agreed(ctx, url.Values{"unit": {uid}, "consistent": {"1"}}, 0, 0)
+	if err != nil {
+		return err
+	}
+	if len(v.Units) == 0 {
+		return errors.New("the registry does not know it")
+	}
+	permit, err := one(ctx, w, state.Op{Kind: state.Permit, UID: uid, Start: v.Units[0].Token, Holder: "staff"})
+	if err != nil {
+		return err
+	}
+	_, err = one(ctx, w, state.Op{Kind: state.Begin, UID: uid, Token: permit.Token})
+	return err
+}
+
+// one has one write carried out; a fault is an error.
+func one(ctx context.Context, w *client.Writer, op state.Op) (state.Answer, error) {
+	a, err := w.One(ctx, op)
+	if err == nil && a.Fault != "" {
+		err = fmt.Errorf("%s: %s", a.Fault, a.Why)
+	}
+	return a, err
+}
+
 // Publish tells the registry of a server that serves or drains. That one has gone the registry finds by itself.
 func (f *Fleet) Publish(server int, st model.State) bool {
 	if f.registry == nil {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -244,6 +244,39 @@
 	}
 }
 
+// cutDrain lets a server drain behind a silent link: what was written into that, and given up, must not arrive when it heals.
+const cutDrain = `
+[[fault]]
+kind = "silence"
+at = "200ms"
+for = "2200ms"
+names = ["web-0"]
+[[fault]]
+kind = "drain"
+at = "300ms"
+for = "2600ms"
+names = ["web-0"]
+`
+
+// Two people drain a zone each at the same time: on both clocks no more is out than the budget allows.
+func TestDrainsByBudget(t *testing.T) {
+	t.Parallel()
+	s := func(set ...string) *scenario.Scenario {
+		s := shipped(t, "fleet-drain.toml", append(set, "limits.slack=400ms")...)
+		s.Shorten(9 * time.Second)
+		return s
+	}
+	if r := play(t, s(), Options{Node: nodeCommand(t, "right"), Replica: nodeCommand(t, "replica")}); r.RulesBroken > 0 || r.Valid && r.Served < 0.95 {
+		t.Errorf("served %.3f, broken %v: %+v", r.Served, r.Rules, r.Violations)
+	}
+	if r := play(t, s("registry.replicas=0"), Options{Virtual: true}); r.RulesBroken > 0 || r.Served < 0.95 {
+		t.Errorf("on the virtual clock served %.3f, broken %v", r.Served, r.Rules)
+	}
+	if r := play(t, s("registry.replicas=0", "budget.whole=0", "budget.zone=0"), Options{Virtual: true}); r.Served > 0.9 {
+		t.Errorf("without a budget two zones out of three were drained, and %.3f served", r.Served)
+	}
+}
+
 // The oracle names each rule that a wrong node breaks, with the request and how it went, and names none where the
 // right one is in its place.
 func TestOracleIsProven(t *testing.T) {
@@ -261,6 +294,7 @@
 		"promise":   {rule: oracle.Promised},
 		"deaf":      {rule: oracle.Drained, fault: drain},
 		"patient":   {rule: oracle.Drained, fault: "\n[[fault]]\nkind = \"mute\"\nat = \"200ms\"\n" + drain, set: "discovery.missed=500ms"},
+		"lingering": {rule: oracle.Drained, fault: cutDrain, set: "load.rate=300"},
 		"crowd":     {rule: oracle.Cold, fault: fresh, set: "load.rate=1000"},
 		"invent":    {rule: oracle.Phantom},
 		"alter":     {rule: oracle.Phantom},
@@ -269,6 +303,7 @@
 		"hoard":     {rule: oracle.Limits, set: "limits.sockets=64"},
 		"resend":    {rule: oracle.Twice, fault: killed + slow, set: "state.keep=true"},
 		"right":     {fault: drain + fresh + killed + slow, set: "state.keep=true"},
+		"right too": {fault: cutDrain, set: "load.rate=300"},
 	} {
 		t.Run(mode, func(t *testing.T) {
 			t.Parallel()
@@ -276,6 +311,9 @@
 			if c.set != "" {
 				set = append(set, c.set)
 			}
+			if c.rule == "" {
+				mode = "right"
+			}
 			r := play(t, parse(t, small+c.fault, set...), Options{Node: nodeCommand(t, mode)})
 			if c.rule == "" {
 				if r.RulesBroken > 0 {
--- a/internal/lab/model/model.go
+++ b/internal/lab/model/model.go
@@ -108,6 +108,9 @@
 	ServerDown(server int, silent bool)
 	// ServerUp lets connections come again.
 	ServerUp(server int)
+	// Take asks for a permit to take a server out, where there is a budget. done runs on the loop with why it was refused;
+	// nil: it was given.
+	Take(server int, done func(refused error))
 	// Publish tells the registry of a server's state, where there is one; false: there is none.
 	Publish(server int, st State) bool
 	// Lease lets a server's heartbeats reach the registry, or not.
--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -88,17 +88,20 @@
 // Up tells whether the server runs.
 func (s *Server) Up() bool { return s.up }
 
+// Drains tells whether it turns new work away as it was told to.
+func (s *Server) Drains() bool { return s.state == Draining }
+
 // Boot is when the server last started; negative: long ago.
 func (s *Server) Boot() time.Duration { return s.boot }
 
 // Cold tells whether it still has less than all of its capacity.
-func (s *Server) Cold() bool { return s.warmth() < 1 }
+func (s *Server) Cold() bool { return s.Warmth() < 1 }
 
 // InFlight is how many attempts it holds.
 func (s *Server) InFlight() int { return len(s.open) }
 
-// warmth is the share of its capacity that the server has for its age.
-func (s *Server) warmth() float64 {
+// Warmth is the share of its capacity that the server has for its age.
+func (s *Server) Warmth() float64 {
 	age := s.w.Loop.Now() - s.boot
 	if age >= s.ColdFor {
 		return 1
@@ -108,7 +111,7 @@
 
 // pace is the work that one running attempt gets in a unit of time.
 func (s *Server) pace() float64 {
-	p := s.Speed * s.warmth()
+	p := s.Speed * s.Warmth()
 	for _, f := range s.slows {
 		p /= f
 	}
@@ -139,7 +142,7 @@
 		return
 	}
 	wait := (s.run[0].ends - s.attained) / s.pace()
-	if s.warmth() < 1 { // the pace changes by itself
+	if s.Warmth() < 1 { // the pace changes by itself
 		wait = min(wait, float64(warmStep))
 	}
 	s.tick = s.w.Loop.After(time.Duration(math.Ceil(max(0, wait))), s.finish)
@@ -426,7 +429,7 @@
 		sum += v
 	}
 	mean := float64(s.w.Site.MeanWork(s.Tier))
-	if n := l.FallMultiple * s.Capacity * s.warmth() * float64(l.FallFor) / mean; sum > (n+3*math.Sqrt(n)+3)*mean {
+	if n := l.FallMultiple * s.Capacity * s.Warmth() * float64(l.FallFor) / mean; sum > (n+3*math.Sqrt(n)+3)*mean {
 		s.w.Observer.Fell(s.Index)
 		s.fail(false)
 	}
--- a/internal/lab/model/server_test.go
+++ b/internal/lab/model/server_test.go
@@ -27,6 +27,7 @@
 func (*nobody) Tell(int, List)                      {}
 func (*nobody) Process(int, ProcessAct)             {}
 func (*nobody) Mute(int, bool)                      {}
+func (*nobody) Take(int, func(error))               {}
 func (*nobody) Links(_, _ []int, _ *Effect, _ bool) {}
 func (*nobody) ServerDown(int, bool)                {}
 func (*nobody) Publish(int, State) bool             { return false }
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -41,6 +41,7 @@
 	Clients   Clients   `toml:"clients"`
 	Discovery Discovery `toml:"discovery"`
 	Registry  Registry  `toml:"registry"`
+	Budget    Budget    `toml:"budget"`
 	State     State     `toml:"state"`
 	Net       Net       `toml:"net"`
 	Limits    Limits    `toml:"limits"`
@@ -136,6 +137,17 @@
 	NoGuard  bool     `toml:"no_guard"` // believe every lease that ends, to see what the guard is for
 }
 
+// Budget is how much of each tier may be out at once, as a share of its capacity. Where it is set, servers drain by permit:
+// what does not fit does not drain. All zero: everybody drains as he likes.
+type Budget struct {
+	Whole float64 `toml:"whole"`
+	Zone  float64 `toml:"zone"` // within each zone; 0: no limit there
+	Rack  float64 `toml:"rack"`
+}
+
+// Set tells whether there is a budget.
+func (b Budget) Set() bool { return b.Whole > 0 }
+
 // State is what nodes keep of what they have learned, for the process after them.
 type State struct {
 	Keep  bool     `toml:"keep"`  // they have a disk that survives them
--- a/internal/lab/scenario/site.go
+++ b/internal/lab/scenario/site.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"hollyspur/internal/agree/budget"
 )
 
 // Rand is a source of randomness for one purpose, the same for the same seed wherever else is drawn.
@@ -80,6 +82,33 @@
 	return site
 }
 
+// BudgetLimits are the budget's, for every tier.
+func (s *Site) BudgetLimits() budget.Limits {
+	share := func(v float64) *float64 {
+		if v == 0 {
+			return nil
+		}
+		return &v
+	}
+	var l budget.Limits
+	for _, t := range s.Tiers {
+		l.Tiers = append(l.Tiers, budget.Limit{Tier: t.Name, Whole: share(s.Budget.Whole), Zone: share(s.Budget.Zone), Rack: share(s.Budget.Rack)})
+	}
+	l.ColdFrom = 1
+	for _, sv := range s.Servers {
+		l.ColdFrom = min(l.ColdFrom, sv.Kind.ColdFrom)
+		l.WarmMS = max(l.WarmMS, sv.ColdFor.Milliseconds())
+	}
+	return l
+}
+
+// Unit is a server as it counts in the budget while it serves fully.
+func (s *Site) Unit(server int) budget.Unit {
+	sv := &s.Servers[server]
+	z := &s.Zones[sv.Zone]
+	return budget.Unit{ID: sv.Name, Start: 1, Tier: s.Tiers[sv.Tier].Name, Zone: z.Name, Region: z.Region, Rack: sv.Rack, Capacity: sv.Size()}
+}
+
 // MeanWork is the mean work of a request at a tier, on a yardstick core.
 func (s *Site) MeanWork(tier int) time.Duration {
 	var sum, shares float64
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hollyspur"
+	"hollyspur/internal/agree/budget"
 	"hollyspur/internal/lab/model"
 	"hollyspur/internal/lab/sim"
 )
@@ -211,6 +212,26 @@
 	askAgain = 500 * time.Millisecond
 )
 
+// Take asks the budget for a permit, with all servers as they are now.
+func (f *Fleet) Take(server int, done func(error)) {
+	l := budget.New()
+	l.Limit(f.w.Site.BudgetLimits())
+	for i, s := range f.w.Servers {
+		u := f.w.Site.Unit(i)
+		switch {
+		case !s.Up():
+			u.Out, u.Why = 1, budget.Missing
+		case s.Drains():
+			u.Out, u.Why = 1, "draining"
+		case s.Cold():
+			u.Out, u.Why = 1-s.Warmth(), "cold"
+		}
+		l.Set(u)
+	}
+	_, refused := l.Grant(budget.Permit{Unit: f.w.Site.Servers[server].Name, Start: 1}, "")
+	done(refused)
+}
+
 // Mute makes a node's watch fall silent.
 func (f *Fleet) Mute(i int, on bool) {
 	n := f.nodes[i]
--- a/internal/lab/wrong_test.go
+++ b/internal/lab/wrong_test.go
@@ -132,6 +132,9 @@
 	return err
 }
 
+// lingering gives up by a plain close.
+var lingering = &http.Client{Timeout: 800 * time.Millisecond, Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
+
 // pick takes the serving servers in turn; a crowd takes the one that started last.
 func (s *wrongServer) pick() string {
 	s.mu.Lock()
@@ -166,7 +169,11 @@
 		}
 		req.Header = r.Header.Clone()
 		req.Header.Set("X-Correlation-Id", id)
-		resp, err := http.DefaultClient.Do(req)
+		client := http.DefaultClient
+		if s.mode == "lingering" {
+			client = lingering
+		}
+		resp, err := client.Do(req)
 		if err != nil {
 			return 502, ""
 		}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -88,6 +88,16 @@
 	return &conn{Conn: c, r: bufio.NewReader(limit), limit: limit}
 }
 
+// abort gives the connection up with all that was written to it and has not left this machine. After a plain close the
+// system goes on sending that for minutes, so a request written into a link that is down would arrive, and run, when the
+// link is up again, long after its caller was told that it had failed. What has left this machine no sender can take back.
+func (c *conn) abort() {
+	if t, is := c.Conn.(interface{ SetLinger(sec int) error }); is {
+		t.SetLinger(0) // where that cannot be, it is closed all the same
+	}
+	c.Conn.Close()
+}
+
 func newUpstream(cfg Config, most int, counts *metrics, room *budget) *upstream {
 	return &upstream{
 		idleFor:        usable(cfg.Conns.Idle),
@@ -144,7 +154,7 @@
 		u.put(s, c) // not a byte of it is written: the caller's last byte could never follow
 		return result{ending: hollyspur.Void}
 	}
-	stop := context.AfterFunc(ctx, func() { c.Conn.Close() }) // all that stops an exchange
+	stop := context.AfterFunc(ctx, c.abort) // all that stops an exchange
 	var res result
 	var keep bool
 	if out.rest == nil {
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -297,16 +299,16 @@
 	}
 }
 
-// A timeout or a cancel ends the attempt and closes its connection.
+// A timeout or a cancel ends the attempt and resets its connection, so that what has not left this machine never does.
 func TestTimeoutAndCancelClose(t *testing.T) {
 	t.Parallel()
-	began, eof := make(chan struct{}, 10), make(chan struct{}, 10)
+	began, ended := make(chan struct{}, 10), make(chan error, 10)
 	addr := listen(t, func(c net.Conn, r *bufio.Reader) {
 		if _, err := http.ReadRequest(r); err == nil {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
 			began <- struct{}{}
-			io.Copy(io.Discard, r)
-			eof <- struct{}{}
+			_, err := io.Copy(io.Discard, r)
+			ended <- err
 		}
 	})
 	u, s := newTestUpstream(10), newServer(addr)
@@ -320,7 +322,9 @@
 		if res := u.attempt(ctx, s, call{request: keyed(t), begin: yes}); res.ending != want {
 			t.Errorf("%v: ending %d, want %d", cause, res.ending, want)
 		}
-		wait(t, eof)
+		if err := wait(t, ended); !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("%v: the server saw %v", cause, err)
+		}
 	}
 	if open, _ := u.counts(); open != 0 {
 		t.Errorf("%d connections open", open)
--- a/internal/procs/relay/relay.go
+++ b/internal/procs/relay/relay.go
@@ -2,7 +2,8 @@
 // delays, holds, slows, refuses and resets. What it lets through is whole and in order.
 //
 // A direction that is silent loses nothing for good: as with TCP over a link that comes back, the bytes arrive
-// when the silence ends, unless either side has gone by then. New connections do not come up meanwhile.
+// when the silence ends, also those of a side that has closed by then. One that has reset its connection takes back what
+// the silence holds, as its system has forgotten it. New connections do not come up meanwhile.
 package relay
 
 import (
@@ -253,7 +254,14 @@
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
-		r.hold(hit)
+		if r.hold(hit) && err == nil {
+			if more, late := lookAgain(from, buf[n:]); late != nil && late != io.EOF {
+				p.reset()
+				return
+			} else if n += more; late == io.EOF {
+				err = io.EOF
+			}
+		}
 		if n > 0 && r.write(to, buf[:n], hit) != nil {
 			p.reset()
 			return
@@ -269,10 +277,25 @@
 	}
 }
 
-// hold waits for as long as the direction is silent, and then for its delay.
-func (r *Relay) hold(hit func(*Effect) bool) {
+// lookAgain reads what has come meanwhile, or that the connection has ended.
+func lookAgain(from *net.TCPConn, buf []byte) (int, error) {
+	if len(buf) == 0 {
+		return 0, nil
+	}
+	from.SetReadDeadline(time.Now().Add(time.Millisecond)) // a deadline that has passed would read nothing
+	defer from.SetReadDeadline(time.Time{})
+	n, err := from.Read(buf)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = nil
+	}
+	return n, err
+}
+
+// hold waits for as long as the direction is silent, and then for its delay. It says whether it was silent.
+func (r *Relay) hold(hit func(*Effect) bool) (silent bool) {
 	r.mu.Lock()
 	for !r.closed && r.any(func(e *Effect) bool { return e.Silent && hit(e) }) {
+		silent = true
 		r.changed.Wait()
 	}
 	wait := time.Duration(0)
@@ -285,6 +308,7 @@
 	if wait > 0 {
 		time.Sleep(wait)
 	}
+	return silent
 }
 
 // write passes bytes on at the pace that the direction has.
--- a/internal/procs/relay/relay_test.go
+++ b/internal/procs/relay/relay_test.go
@@ -120,6 +120,60 @@
 	}
 }
 
+// What is written into a silence arrives after it, though its sender has closed by then; one that has reset its
+// connection has taken it back.
+func TestTakenBack(t *testing.T) {
+	for reset, want := range map[bool]string{false: "before\nduring\n", true: "before\n"} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		got := make(chan string, 100)
+		go func() {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			var all strings.Builder
+			for buf := make([]byte, 100); ; {
+				n, err := c.Read(buf)
+				all.Write(buf[:n])
+				if n > 0 || err != nil {
+					got <- all.String()
+				}
+				if err != nil {
+					close(got)
+					return
+				}
+			}
+		}()
+		r, err := Listen("127.0.0.1", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(r.Close)
+		c := dial(t, r)
+		io.WriteString(c, "before\n")
+		<-got
+		e := put(t, r, &Effect{Silent: true, There: true})
+		io.WriteString(c, "during\n")
+		if reset {
+			c.(*net.TCPConn).SetLinger(0)
+		}
+		c.Close()
+		take(t, r, e)
+		last := ""
+		for s := range got {
+			last = s
+		}
+		if last != want {
+			t.Errorf("reset %v: %q arrived, want %q", reset, last, want)
+		}
+	}
+}
+
 // A silence within another lasts as long as either, and a refusal ends when its own time does.
 func TestOverlap(t *testing.T) {
 	r := start(t)
--- a/internal/registry/replica/interleave_test.go
+++ b/internal/registry/replica/interleave_test.go
@@ -161,3 +161,69 @@
 	interleave.Check(t, interleave.Options{}, body(false))
 	interleave.Finds(t, interleave.Options{}, "both are out", body(true))
 }
+
+// Two nodes look at a version and acknowledge it, one restarts, staff take it back, and a controller tells it. No node runs
+// what it was not told to, nothing is told without both acknowledgments of starts that run, and a version taken back is
+// run by nobody.
+func TestInterleaveRollout(t *testing.T) {
+	node := func(uid string, boot float64) state.Op {
+		return state.Op{Kind: state.Register, Entry: &state.Entry{UID: uid, Endpoint: "x:1", State: state.Serving, Role: state.Node, Tier: "front", Zone: "a", Capacity: 1, BootMS: boot}}
+	}
+	body := func(eager bool) func(x *interleave.Exec) {
+		return func(x *interleave.Exec) {
+			f, order := newFSM(), &interleave.Mutex{}
+			starts := map[string]int64{}
+			for i, a := range apply(f, order, node("n0", 1), node("n1", 1)) {
+				starts[fmt.Sprint("n", i)] = a.Token
+			}
+			for uid, token := range starts {
+				apply(f, order, state.Op{Kind: state.Report, UID: uid, Token: token})
+			}
+			v := apply(f, order, state.Op{Kind: state.Propose, Value: json.RawMessage(`{}`), Stages: []float64{1}})[0].Token
+			hash := state.Hash([]byte(`{}`))
+			withdrawn, runs := false, map[string]bool{}
+			for _, uid := range []string{"n0", "n1"} {
+				x.Go(uid, func() {
+					apply(f, order, state.Op{Kind: state.Ack, UID: uid, Token: starts[uid], Number: v, Hash: hash})
+					told := int64(0)
+					f.read(func(s *state.State) { told = s.Book().Nodes[uid].Told })
+					if told == v || eager { // the planted fault: it runs what it has acknowledged
+						interleave.Step(&runs, "run")
+						if withdrawn {
+							interleave.Failf("%s runs what was taken back", uid)
+						}
+						runs[uid] = true
+					}
+				})
+			}
+			x.Go("restart", func() { apply(f, order, node("n1", 2)) })
+			x.Go("staff", func() {
+				if apply(f, order, state.Op{Kind: state.Withdraw, Number: v})[0].Fault == "" {
+					interleave.Step(&runs, "taken back")
+					withdrawn = true
+				}
+			})
+			x.Go("controller", func() {
+				if apply(f, order, state.Op{Kind: state.Commit, Number: v})[0].Fault != "" {
+					return
+				}
+				f.read(func(s *state.State) {
+					if s.Book().Committed.Number != v {
+						interleave.Failf("told, and not in force")
+					}
+				})
+			})
+			x.Finally(func() {
+				b := f.state.Book()
+				if b.Committed.Number == v && withdrawn {
+					interleave.Failf("it is in force and taken back")
+				}
+				if b.Committed.Number != v && len(runs) > 0 {
+					interleave.Failf("%v run what nobody was told", runs)
+				}
+			})
+		}
+	}
+	interleave.Check(t, interleave.Options{}, body(false))
+	interleave.Finds(t, interleave.Options{}, "run", body(true))
+}
