Two tests of the relay wait for what they look at

Change: the relay counts the directions that wait, and the test waits for one; the other speaks first.

--- a/internal/procs/relay/relay.go
+++ b/internal/procs/relay/relay.go
@@ -37,6 +37,7 @@
 	ln      *net.TCPListener // nil while it refuses
 	effects []*Effect
 	pipes   map[*pipe]struct{}
+	holding int        // directions that wait for a silence to end, with bytes or an end to pass on
 	filler  []net.Conn // fills the backlog while silent, so that no connection comes up
 	closed  bool
 }
@@ -293,10 +294,13 @@
 
 // hold waits for as long as the direction is silent, and then for its delay. It says whether it was silent.
 func (r *Relay) hold(hit func(*Effect) bool) (silent bool) {
+	quiet := func() bool { return !r.closed && r.any(func(e *Effect) bool { return e.Silent && hit(e) }) }
 	r.mu.Lock()
-	for !r.closed && r.any(func(e *Effect) bool { return e.Silent && hit(e) }) {
-		silent = true
-		r.changed.Wait()
+	if silent = quiet(); silent {
+		for r.holding++; quiet(); {
+			r.changed.Wait()
+		}
+		r.holding--
 	}
 	wait := time.Duration(0)
 	for _, e := range r.effects {
--- a/internal/procs/relay/relay_test.go
+++ b/internal/procs/relay/relay_test.go
@@ -159,6 +159,11 @@
 		<-got
 		e := put(t, r, &Effect{Silent: true, There: true})
 		io.WriteString(c, "during\n")
+		for held, end := 0, time.Now().Add(limit); held == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+			r.mu.Lock()
+			held = r.holding
+			r.mu.Unlock()
+		}
 		if reset {
 			c.(*net.TCPConn).SetLinger(0)
 		}
@@ -178,6 +183,7 @@
 func TestOverlap(t *testing.T) {
 	r := start(t)
 	c := dial(t, r)
+	want(t, c, "before") // it has been taken, and does not wait in the backlog that a refusal empties
 	first, second := put(t, r, &Effect{Silent: true, There: true}), put(t, r, &Effect{Silent: true, There: true})
 	refuse := put(t, r, &Effect{Refuse: true})
 	take(t, r, first)
