--- a/cmd/umberbank/fleet_test.go
+++ b/cmd/umberbank/fleet_test.go
@@ -188,8 +188,7 @@
 		"reckless": {trial.Options{Beside: beside("reckless")}, func(r *trial.Result) int { return r.OverBudget }},
 		"right":    {trial.Options{Dead: dead}, nil},
 	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
+		t.Run(name, func(t *testing.T) { // one after the other: each is some twenty processes
 			for seed := uint64(1); ; seed++ { // a race that a wrong process does not always win
 				c.opt.Seed, c.opt.For, c.opt.Calm, c.opt.Program = seed, 4*time.Second, true, as(t, "program")
 				r, err := trial.Run(t.Context(), c.opt)
