--- a/internal/procs/relay/relay.go
+++ b/internal/procs/relay/relay.go
@@ -37,6 +37,7 @@
 	ln      *net.TCPListener // nil while it refuses
 	effects []*Effect
 	pipes   map[*pipe]struct{}
+	resting bool       // the accepting goroutine accepts nothing
 	holding int        // directions that wait for a silence to end, with bytes or an end to pass on
 	filler  []net.Conn // fills the backlog while silent, so that no connection comes up
 	closed  bool
@@ -155,13 +156,20 @@
 	fillWait = 20 * time.Millisecond
 )
 
-// fill takes the listener's places, so that the system answers no more connections. r.mu is held.
+// fill takes the listener's places, so that the system answers no more connections. r.mu is held, but for a moment in which
+// the accepting goroutine comes to rest: it might take a place away again.
 func (r *Relay) fill() error {
-	r.ln.SetDeadline(time.Unix(1, 0)) // wakes the accepting goroutine, which then waits
+	r.filler = []net.Conn{}
+	r.ln.SetDeadline(time.Unix(1, 0)) // wakes it
+	for r.filler != nil && !r.resting && !r.closed {
+		r.changed.Wait()
+	}
+	if r.filler == nil || r.closed || r.ln == nil {
+		return nil // the silence is over already, or connections are refused
+	}
 	if err := r.backlog(0); err != nil {
 		return err
 	}
-	r.filler = []net.Conn{}
 	for range fillers {
 		c, err := net.DialTimeout("tcp", r.addr, fillWait)
 		if err != nil {
@@ -205,8 +213,11 @@
 	for {
 		r.mu.Lock()
 		for !r.closed && (r.ln == nil || r.filler != nil) {
+			r.resting = true
+			r.changed.Broadcast()
 			r.changed.Wait()
 		}
+		r.resting = false
 		ln, closed := r.ln, r.closed
 		r.mu.Unlock()
 		if closed {
