--- a/internal/agree/rollout/rollout.go
+++ b/internal/agree/rollout/rollout.go
@@ -175,9 +175,10 @@
 	}
 }
 
-// Back proposes the old content anew, in the place of a version that was told to some nodes. It goes to those first.
+// Back proposes the old content anew, in the place of a version that was told to some nodes, or of a way back from one that
+// was halted. It goes to those first.
 func (b *Book) Back() (*Version, error) {
-	if b.Pending == nil || b.Stage == 0 {
+	if b.Pending == nil || b.Stage == 0 && !b.spread() {
 		return nil, errors.New("no version was told to nodes and not to all")
 	}
 	if b.Committed.Number == 0 {
--- a/internal/agree/rollout/rollout_test.go
+++ b/internal/agree/rollout/rollout_test.go
@@ -165,6 +165,38 @@
 	fails(b.Commit(v.Number, 1), "halted: node n1")
 	_, err = b.Back()
 	fails(err, "version 0 is what each node was started with")
+	// A way back that is halted cannot be withdrawn, as some run what it takes back, but can be begun anew.
+	c := New()
+	c.SetNode("n0", "a", 1, false)
+	c.SetNode("n1", "a", 1, false)
+	pass := func() {
+		t.Helper()
+		for _, id := range c.ids() {
+			fails(c.Report(id, 1, c.Nodes[id].Told, c.Hashes[c.Nodes[id].Told]), "")
+			if c.Pending != nil {
+				fails(c.Ack(id, 1, c.Pending.Number, c.Pending.Hash, ""), "")
+			}
+		}
+	}
+	pass()
+	c.Propose("x", 0, []float64{1})
+	pass()
+	fails(c.Commit(1, 0), "")
+	pass()
+	c.Propose("y", 1, []float64{0.5, 1})
+	pass()
+	fails(c.Commit(2, 0), "")
+	_, err = c.Back()
+	fails(err, "")
+	fails(c.Halt("by staff"), "")
+	fails(c.Withdraw(3), "itself a way back")
+	again, err := c.Back()
+	fails(err, "")
+	pass()
+	fails(c.Commit(again.Number, 0), "")
+	if c.Committed.Number != 4 || c.Committed.Hash != "x" {
+		t.Errorf("in force: %+v", c.Committed)
+	}
 	fails(b.Ack("n2", 1, 1, "x", "no such class"), "")
 	if b.Nodes["n2"].Refused == "" {
 		t.Error("a refusal is not kept")
--- a/internal/agree/trial/judge_test.go
+++ b/internal/agree/trial/judge_test.go
@@ -27,6 +27,7 @@
 		"a tier over":                   {events: []host.Event{at(1, "out", "s00"), at(1, "out", "s02"), at(1, "out", "s01"), at(2, "drained", "s03")}, over: 1},
 		"one is back and warm":          {events: []host.Event{at(1, "out", "s00"), at(1, "out", "s02"), at(2, "up", "s00"), at(3, "out", "s04")}},
 		"one is back and cold":          {events: []host.Event{at(1, "out", "s00"), at(1, "out", "s02"), at(2, "up", "s00"), at(2.1, "out", "s04")}, over: 1},
+		"a restart by a crash just now": {events: []host.Event{at(1, "out", "s00"), at(1, "out", "s02"), at(2, "killed", "s01"), at(2.2, "up", "s01"), at(2.3, "out", "s03")}},
 		"a drain that was lifted":       {events: []host.Event{at(1, "drained", "s00"), at(2, "undrained", "s00"), at(3, "out", "s02"), at(3, "out", "s04")}},
 		"a death that all know of":      {events: []host.Event{at(1, "killed", "s00"), at(6, "out", "s02"), at(6, "out", "s04")}, over: 1},
 		"a death just now":              {events: []host.Event{at(1, "killed", "s00"), at(2, "out", "s02"), at(2, "out", "s04")}},
