One way to a consistent answer of a replica; a controller's unused end is gone

Need: the last reading found the same eight lines in two calls of the registry, and a field of the controller that nobody set. Change: both calls ask the same method; the field and its branch are removed. Nothing else changes.

--- a/internal/agree/host/control.go
+++ b/internal/agree/host/control.go
@@ -25,7 +25,6 @@
 	TTL      time.Duration // of the lead's lease
 	Journal  *Journal
 	Log      *slog.Logger
-	Done     func(a *state.Agreed) bool // looks at each view; true: Run returns. nil: never
 
 	writer  *client.Writer
 	token   int64 // of the lead; 0: another has it, or nobody
@@ -52,9 +51,6 @@
 			continue
 		}
 		rev = v.Rev
-		if c.Done != nil && c.Done(v) {
-			break
-		}
 		switch {
 		case c.token != 0 && time.Since(renewed) > c.TTL/3:
 			asked := time.Now()
--- a/internal/registry/replica/api.go
+++ b/internal/registry/replica/api.go
@@ -233,20 +233,27 @@
 // maxWait is the longest that a call for what is agreed waits for a change.
 const maxWait = 10 * time.Second
 
+// consistent has this replica hold all that was committed when the call came; false: the call has its answer already,
+// from the leader or as an error.
+func (r *Replica) consistent(w http.ResponseWriter, q *http.Request) bool {
+	if r.raft.State() != raft.Leader {
+		r.pass(w, q, nil)
+		return false
+	}
+	if err := r.upToDate(); err != nil {
+		reply(w, nil, err)
+		return false
+	}
+	return true
+}
+
 // agreement tells what is agreed. after=REV waits until there is a later revision, or wait_ms are over; unit=UID gives that
 // unit and its permit alone, node=UID what settings it is to run, without the contents of versions that it has (has=N,M); units=1
 // gives all units, lead=UID that controller; consistent=1 is as for instances.
 func (r *Replica) agreement(w http.ResponseWriter, q *http.Request) {
 	query := q.URL.Query()
-	if query.Get("consistent") != "" {
-		if r.raft.State() != raft.Leader {
-			r.pass(w, q, nil)
-			return
-		}
-		if err := r.upToDate(); err != nil {
-			reply(w, nil, err)
-			return
-		}
+	if query.Get("consistent") != "" && !r.consistent(w, q) {
+		return
 	}
 	if text := query.Get("after"); text != "" {
 		rev, err := strconv.ParseInt(text, 10, 64)
@@ -300,15 +307,8 @@
 			numbers[name] = n
 		}
 	}
-	if query.Get("consistent") != "" {
-		if r.raft.State() != raft.Leader {
-			r.pass(w, q, nil)
-			return
-		}
-		if err := r.upToDate(); err != nil {
-			reply(w, nil, err)
-			return
-		}
+	if query.Get("consistent") != "" && !r.consistent(w, q) {
+		return
 	}
 	if least := numbers["at_least"]; least > 0 && !r.await(q, least, awaitAtMost) {
 		reply(w, nil, errors.New("this replica has not come to that revision"))
