The list's staleness is bounded: unproven for 2.5 s, it is asked for whole

Observed: three watches in a row that answer and fall silent delay news by 7.66 s (TestSilentAgents, the case with the plain question unanswered), where a change counts as told 6 s after discovery had it. Checked: each watch has 2.5 s of its own (discovery.watch, loop.subscribe), so the delay is a sum; half lists, broken ones, resets, refusals and the rests after them add to it. A list of an older revision was applied (loop.takeList), so a late answer could undo a newer one.

Now the loop keeps the clock time at which the list was surely current: a message, a heartbeat, or the sending of a question that was answered. 2.5 s after that the whole list is asked for every 0.25 s, beside whatever watch there is; 0.25 s after a start or a move of discovery; at once after what was no list. News of an older revision than the held one is dropped.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"log"
 	"net/http"
@@ -78,6 +79,7 @@
 	module      module
 	upstream    *upstream
 	discovery   *discovery
+	running     context.Context // of run: questions to discovery end with it
 	metrics     *metrics
 	classes     atomic.Pointer[classes] // swapped by the loop, read by the front too
 	maxAttempts int
@@ -89,11 +91,16 @@
 	requests  map[string]*request
 	servers   map[string]*server
 	rev       int64 // of the list we hold
+	cached    bool  // and that is from before the start
 	nextID    uint64
 	stopWatch context.CancelFunc
 	watching  bool          // a watch was opened; a broken one is opened again
 	elsewhere bool          // the list comes from a registry, and discovery is not asked
 	rest      time.Duration // before the last watch that was opened again
+	proven    time.Duration // clock time at which the list was surely current
+	asked     time.Duration // when discovery was last asked for the whole of it
+	asking    int           // such questions that are out
+	doubting  *time.Timer   // the next look whether one is due; nil before the first watch
 	heard     bool          // what discovery's agent holds, since the start
 	told      chan struct{} // closed when heard is true
 	ending    bool          // the process is about to be killed
@@ -137,6 +144,7 @@
 func (l *loop) run(ctx context.Context) {
 	defer close(l.done)
 	defer func() { l.stopWatch() }()
+	l.running = ctx
 	sweep := time.NewTicker(time.Second)
 	defer sweep.Stop()
 	ask := time.NewTicker(askAvoided)
@@ -388,7 +396,7 @@
 
 // takeList applies news of the servers: first to what the I/O may use, then to the module.
 func (l *loop) takeList(list List, cached bool) {
-	l.rev = list.Rev
+	l.rev, l.cached = list.Rev, cached
 	if !cached {
 		l.hear()
 	}
@@ -424,6 +432,61 @@
 	l.handle(e)
 }
 
+// takeNews applies what discovery has said, of the clock time at, unless it is older than what is held: calls overtake
+// each other. What the configuration knew is no such measure.
+func (l *loop) takeNews(list List, at time.Duration) {
+	l.proven = max(l.proven, at)
+	if l.cached && list.All || list.Rev > l.rev {
+		l.takeList(list, false)
+	} else {
+		l.hear()
+	}
+}
+
+// doubt lets the list count as proven at a clock time and no later, so that a question for the whole of it goes out
+// silence after that.
+func (l *loop) doubt(proven time.Duration) {
+	l.proven = proven
+	if l.doubting == nil {
+		l.doubting = l.after(0, l.askIfDue)
+	} else {
+		l.doubting.Reset(0)
+	}
+}
+
+// askIfDue asks for the whole list if nothing has proven for too long that the one that is held is current.
+func (l *loop) askIfDue() {
+	now := l.clock.now()
+	due := max(l.proven+silence, l.asked+askEvery)
+	if now >= due {
+		if l.asking < askMost {
+			l.ask()
+		}
+		due = now + askEvery
+	}
+	l.doubting.Reset(due - now)
+}
+
+// ask asks discovery for the whole list.
+func (l *loop) ask() {
+	l.asking++
+	l.asked = l.clock.now()
+	disc, at := l.discovery, l.asked
+	go func() {
+		list, err := disc.list(l.running)
+		l.post(func() {
+			l.asking--
+			switch {
+			case disc != l.discovery: // it has moved since
+			case err == nil:
+				l.takeNews(list, at)
+			case errors.Is(err, errMalformed): // other troubles are the watch's to tell
+				log.Printf("whole list: %v", err)
+			}
+		})
+	}()
+}
+
 // newsAfter is how soon after a watch begins to answer its first news is here, if the agent has any.
 const newsAfter = 20 * time.Millisecond
 
@@ -465,6 +528,7 @@
 	l.discovery = d
 	if l.watching {
 		l.subscribe()
+		l.doubt(l.clock.now() + askEvery - silence)
 	}
 }
 
@@ -477,17 +541,27 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l.stopWatch, l.watching = cancel, true
 	since, disc, begun := l.rev, l.discovery, l.clock.now()
-	go func() {
-		err := disc.watch(ctx, since, func() { l.after(newsAfter, l.hear) }, func(list List) {
-			l.post(func() {
-				if ctx.Err() == nil { // else a newer watch tells the same
-					l.takeList(list, false)
-				}
-			})
+	if l.doubting == nil {
+		l.doubt(begun + askEvery - silence)
+	}
+	said := func(f func(at time.Duration)) { // runs f unless a newer watch tells the same
+		at := l.clock.now()
+		l.post(func() {
+			if ctx.Err() == nil {
+				f(at)
+			}
 		})
+	}
+	go func() {
+		err := disc.watch(ctx, since, func() { l.after(newsAfter, l.hear) },
+			func() { said(func(at time.Duration) { l.proven = max(l.proven, at) }) },
+			func(list List) { said(func(at time.Duration) { l.takeNews(list, at) }) })
 		l.post(func() {
 			if ctx.Err() == nil {
 				log.Printf("watch: %v", err)
+				if errors.Is(err, errMalformed) {
+					l.doubt(min(l.proven, l.clock.now()-silence)) // what did not count is asked for at once
+				}
 				// When to ask is the module's to say where lists are asked for; a watch fallen silent is broken
 				// and is opened anew in any case.
 				if !l.pushed && err != errSilent {
