A keyed request's repeat is not written past its window

Ruled out: the group, which inScope holds by the servers of the earlier attempts.

Now the loop keeps when the first attempt was sent that may have run, and the first byte is written only before that and the class's window, less the time on the way.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -36,7 +36,9 @@
 	rest     *callerBody   // what follows of a long one; nil: nothing
 	answer   chan answer   // holds the final answer; never blocks
 
-	maxAttempts int // by the settings when it was accepted
+	maxAttempts int             // by the settings when it was accepted
+	kind        hollyspur.Class // likewise
+	ran         time.Duration   // when the first attempt was sent that may have run; 0: none may have
 
 	finished atomic.Bool // answered, or its caller has gone; set by the loop alone
 	lastCall *time.Timer // for an answer by the node itself
@@ -220,7 +222,7 @@
 		r.answer <- answer{status: http.StatusServiceUnavailable}
 		return
 	}
-	r.maxAttempts = l.maxAttempts
+	r.maxAttempts, r.kind = l.maxAttempts, (*l.classes.Load())[r.class]
 	l.nextID++
 	r.id = strconv.FormatUint(l.nextID, 10)
 	l.requests[r.id] = r
@@ -319,7 +321,9 @@
 		l.queue = append(l.queue, l.end(at, result{ending: hollyspur.Void}))
 		return
 	}
-	out := call{request: r.forward.Clone(ctx), rest: r.rest, begin: func() bool { return !r.finished.Load() },
+	by := r.sendBy()
+	out := call{request: r.forward.Clone(ctx), rest: r.rest,
+		begin:   func() bool { return !r.finished.Load() && (by == 0 || l.clock.now() < by) },
 		started: func(d *download) { l.post(func() { l.started(at, d) }) }}
 	if r.rest != nil {
 		// Its time begins with its last byte. How slow that may be is the caller's body's to say.
@@ -340,6 +344,15 @@
 	}()
 }
 
+// sendBy is the clock time from which on the servers may run a repeat of the request anew, less the time on the way; 0:
+// there is none. A connection that comes up late must not carry it past that.
+func (r *request) sendBy() time.Duration {
+	if r.kind.Effect != hollyspur.Keyed || r.ran == 0 {
+		return 0
+	}
+	return r.ran + r.kind.Window - min(ownDelay, r.kind.Window/4)
+}
+
 // taken notes that the last byte of a long request was written: its time begins.
 func (l *loop) taken(at *attempt) {
 	r := at.req
@@ -384,6 +397,13 @@
 	if at.begun {
 		l.metrics.outstanding.Add(-1)
 	}
+	switch res.ending {
+	case hollyspur.Overloaded, hollyspur.Unreachable, hollyspur.Void: // it never ran
+	default:
+		if r.ran == 0 || at.sent < r.ran {
+			r.ran = at.sent
+		}
+	}
 	if res.ending == hollyspur.Success {
 		l.finish(r.id, answer{status: http.StatusOK, body: res.body, contentType: res.contentType})
 	}
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -15,12 +15,12 @@
 
 // classes are the classes that requests may name now, with what is said of them. They are never changed:
 // a reload swaps them whole.
-type classes map[string]hollyspur.Effect
+type classes map[string]hollyspur.Class
 
 func newClasses(set hollyspur.Settings) *classes {
 	c := classes{}
 	for _, k := range set.Classes {
-		c[k.Name] = k.Effect
+		c[k.Name] = k
 	}
 	return &c
 }
@@ -30,11 +30,11 @@
 
 // check says what is wrong with a request of a class.
 func (c *classes) check(class string, h http.Header) error {
-	effect, known := (*c)[class]
+	k, known := (*c)[class]
 	switch {
 	case !known:
 		return fmt.Errorf("the class %q: %w", class, errUnknownClass)
-	case effect == hollyspur.Keyed && h.Get("Idempotency-Key") == "":
+	case k.Effect == hollyspur.Keyed && h.Get("Idempotency-Key") == "":
 		// Without its key the servers would run every repeat.
 		return errors.New("Idempotency-Key is missing")
 	}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -64,6 +64,7 @@
 type upstream struct {
 	metrics *metrics
 	budget  *budget
+	connect func(ctx context.Context, addr string, within time.Duration) (net.Conn, error)
 
 	mu             sync.Mutex
 	idleFor        time.Duration // ours are closed after standing idle for so long
@@ -104,9 +105,12 @@
 		connectTimeout: cfg.Conns.ConnectWithin,
 		metrics:        counts,
 		budget:         room,
-		idle:           map[*server][]*conn{},
-		most:           most,
-		trusted:        usable(cfg.Conns.Idle),
+		connect: func(ctx context.Context, addr string, within time.Duration) (net.Conn, error) {
+			return (&net.Dialer{Timeout: within}).DialContext(ctx, "tcp", addr)
+		},
+		idle:    map[*server][]*conn{},
+		most:    most,
+		trusted: usable(cfg.Conns.Idle),
 	}
 }
 
@@ -381,9 +385,9 @@
 		return nil, errNoRoom
 	}
 	u.mu.Lock()
-	d := net.Dialer{Timeout: u.connectTimeout}
+	within := u.connectTimeout
 	u.mu.Unlock()
-	nc, err := d.DialContext(ctx, "tcp", s.addr)
+	nc, err := u.connect(ctx, s.addr, within)
 	if err != nil {
 		u.release()
 		return nil, err
