A caller that has gone sends nothing more, and a resting one is closed once

Now limitedConn reads on behind the byte that net/http took, 4 KB at the most, and gives them back to its next read; the departure is marked where it is seen; and at the first byte of an attempt the caller's socket itself is asked (MSG_PEEK). Closing and reading settle by one compare-and-swap: what is read after the decision is no request.

--- a/internal/node/caller.go
+++ b/internal/node/caller.go
@@ -37,13 +37,23 @@
 
 // reset makes the connection's close a reset, which cannot pass for the end of an answer.
 func (c *caller) reset() {
-	conn := c.conn
-	if limited, is := conn.(*limitedConn); is {
-		conn = limited.Conn
+	if limited, is := c.conn.(*limitedConn); is {
+		limited.reset()
 	}
-	if tcp, is := conn.(*net.TCPConn); is {
-		tcp.SetLinger(0) // an error means that it is closed already
+}
+
+// watch calls gone when the caller is seen to have gone behind bytes that it sent ahead; see limitedConn.
+func (c *caller) watch(gone func()) (stop func()) {
+	if limited, is := c.conn.(*limitedConn); is {
+		return limited.watch(gone)
 	}
+	return func() {}
+}
+
+// left says that the caller has closed its connection, whether or not anybody has noticed yet.
+func (c *caller) left() bool {
+	limited, is := c.conn.(*limitedConn)
+	return is && limited.left()
 }
 
 // callerStall is how long a caller may stand still amid a long answer.
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -29,7 +29,7 @@
 	switch s {
 	case http.StateNew, http.StateIdle:
 		if l, is := conn.(*limitedConn); is {
-			l.heard.Store(false)
+			l.rest()
 		}
 		c.idle[conn] = time.Now()
 	default:
@@ -42,10 +42,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, since := range c.idle {
-		if l, is := conn.(*limitedConn); is && l.heard.Load() {
+		if time.Since(since) < least {
 			continue
 		}
-		if time.Since(since) >= least {
+		if l, is := conn.(*limitedConn); !is || l.claim() {
 			conn.Close()
 			delete(c.idle, conn)
 		}
--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -1,8 +1,12 @@
 package node
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +16,31 @@
 // What has to hold at the instant in which something ends: docs/endings.md. Each test holds one side and lets go in a
 // stated order.
 
+// until asks the loop again and again until f says yes there.
+func until(t *testing.T, n *Node, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); ; {
+		seen := make(chan bool, 1)
+		n.loop.post(func() { seen <- f() })
+		if wait(t, seen) {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("it never comes to be")
+		}
+	}
+}
+
+// gatedDials makes the node's connections come up only once gate is closed; each tells began first.
+func gatedDials(n *Node, began, gate chan struct{}) {
+	dial := n.loop.upstream.connect
+	n.loop.upstream.connect = func(ctx context.Context, addr string, within time.Duration) (net.Conn, error) {
+		began <- struct{}{}
+		<-gate
+		return dial(ctx, addr, within)
+	}
+}
+
 // newNodeFor is a node that does not run yet.
 func newNodeFor(t *testing.T, cfg Config) *Node {
 	t.Helper()
@@ -36,6 +65,231 @@
 	})
 }
 
+// A caller that goes behind bytes that it sent ahead of its answer is seen to go, though net/http reads one of those
+// bytes and looks no more.
+func TestGoneBehindBytesAhead(t *testing.T) {
+	t.Parallel()
+	for _, request := range []string{head("GET", "/read/1", ""), head("POST", "/order/1", "Content-Length: 2\r\n") + "ab"} {
+		taken, gone := make(chan struct{}), make(chan struct{})
+		n := startNode(t, testConfig("127.0.0.1:1"), moduleFunc(func(e hollyspur.Event) []hollyspur.Action {
+			switch e.(type) {
+			case hollyspur.Request:
+				close(taken)
+			case hollyspur.ClientGone:
+				close(gone)
+			}
+			return nil
+		}))
+		conn := dial(t, n.Addr().String())
+		io.WriteString(conn, strings.Replace(request, "15000m", "90000m", 1)) // the node answers by itself only then
+		wait(t, taken)
+		io.WriteString(conn, "\r\nGET")
+		conn.Close()
+		wait(t, gone)
+	}
+}
+
+// What a caller sends ahead of its answer is its next request all the same.
+func TestBytesAheadAreKept(t *testing.T) {
+	t.Parallel()
+	taken, answer := make(chan string, 2), make(chan struct{})
+	n := newNodeFor(t, testConfig("127.0.0.1:1"))
+	n.loop.module = moduleFunc(func(e hollyspur.Event) []hollyspur.Action {
+		if r, is := e.(hollyspur.Request); is {
+			taken <- r.ID
+			if len(taken) == 1 {
+				go func() {
+					<-answer
+					n.loop.post(func() { n.loop.finish(r.ID, answer503) })
+				}()
+				return nil
+			}
+			return []hollyspur.Action{hollyspur.Refuse{ID: r.ID}}
+		}
+		return nil
+	})
+	runNode(t, n)
+	conn := dial(t, n.Addr().String())
+	next := head("GET", "/read/2", "")
+	io.WriteString(conn, head("GET", "/read/1", ""))
+	for len(taken) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for i := range len(next) - 1 { // all but the last byte, one by one
+		io.WriteString(conn, next[i:i+1])
+	}
+	close(answer)
+	r := bufio.NewReader(conn)
+	for i := range 2 {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil || resp.StatusCode != 503 {
+			t.Fatalf("answer %d: %+v, %v", i, resp, err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		io.WriteString(conn, next[len(next)-1:])
+	}
+}
+
+var answer503 = answer{status: http.StatusServiceUnavailable}
+
+// A caller that goes while its attempt's connection comes up has gone: not a byte is written, though the loop is busy
+// and has not heard.
+func TestGoneWhileDialling(t *testing.T) {
+	t.Parallel()
+	addr, got := stub(t, ok, false)
+	n := newNodeFor(t, testConfig("127.0.0.1:1", serving("s", addr)))
+	began, gate := make(chan struct{}, 1), make(chan struct{})
+	gatedDials(n, began, gate)
+	runNode(t, n)
+	conn := dial(t, n.Addr().String())
+	io.WriteString(conn, head("GET", "/read/1", ""))
+	wait(t, began)
+	held, busy := make(chan struct{}), make(chan struct{})
+	n.loop.post(func() { close(busy); <-held })
+	wait(t, busy)
+	conn.Close()
+	for end := time.Now().Add(limit); n.front.conns.Load() > 0; time.Sleep(time.Millisecond) { // its handler has ended
+		if time.Now().After(end) {
+			t.Fatal("the caller is not seen to go")
+		}
+	}
+	close(gate)
+	// The attempt ends as one that wrote nothing: its connection is idle.
+	for end := time.Now().Add(limit); ; time.Sleep(time.Millisecond) {
+		if _, idle := n.loop.upstream.counts(); idle == 1 || len(got) > 0 || time.Now().After(end) {
+			break
+		}
+	}
+	close(held)
+	until(t, n, func() bool { return len(n.loop.requests) == 0 })
+	if len(got) > 0 {
+		t.Error("it was sent on")
+	}
+}
+
+// Callers that leave all at once, before the loop has come to any of them: not one of their requests is sent on.
+func TestCrowdLeaves(t *testing.T) {
+	t.Parallel()
+	addr, got := stub(t, ok, false)
+	cfg := testConfig("127.0.0.1:1", serving("s", addr))
+	cfg.Sockets = 4096
+	n := startNode(t, cfg, nil)
+	held, busy := make(chan struct{}), make(chan struct{})
+	n.loop.post(func() { close(busy); <-held })
+	wait(t, busy)
+	const crowd = 300
+	var conns []net.Conn
+	for range crowd {
+		conn := dial(t, n.Addr().String())
+		io.WriteString(conn, head("GET", "/read/1", ""))
+		conns = append(conns, conn)
+	}
+	for end := time.Now().Add(limit); len(n.loop.events) < crowd; time.Sleep(time.Millisecond) { // all wait for the loop
+		if time.Now().After(end) {
+			t.Fatalf("%d of %d requests are in", len(n.loop.events), crowd)
+		}
+	}
+	for _, c := range conns {
+		c.Close()
+	}
+	for end := time.Now().Add(limit); n.front.conns.Load() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not all are seen to go")
+		}
+	}
+	close(held)
+	until(t, n, func() bool { return len(n.loop.requests) == 0 && len(n.loop.events) == 0 })
+	if len(got) > 0 {
+		t.Errorf("%d of %d were sent on", len(got), crowd)
+	}
+}
+
+// The system knows that a caller has gone before anybody has read that.
+func TestLeftWithoutReading(t *testing.T) {
+	t.Parallel()
+	for name, leave := range map[string]func(*net.TCPConn){
+		"closes": func(c *net.TCPConn) { c.Close() }, "half-closes": func(c *net.TCPConn) { c.CloseWrite() },
+		"resets": func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+	} {
+		ours, theirs := tcpPair(t)
+		c := &limitedConn{Conn: ours, leave: func() {}}
+		if c.left() {
+			t.Errorf("%s: gone before", name)
+		}
+		leave(theirs)
+		for end := time.Now().Add(limit); !c.left(); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%s: never gone", name)
+			}
+		}
+	}
+}
+
+// tcpPair is both ends of a connection.
+func tcpPair(t *testing.T) (a, b *net.TCPConn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	out, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	in, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { in.Close(); out.Close() })
+	return in.(*net.TCPConn), out.(*net.TCPConn)
+}
+
+// heldConn lets a read that has its bytes return only once gate is closed.
+type heldConn struct {
+	net.Conn
+	has, gate chan struct{}
+}
+
+func (c heldConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.has <- struct{}{}
+		<-c.gate
+	}
+	return n, err
+}
+
+// A request that comes as its resting connection is closed: read before the decision it keeps the connection, read
+// after it it is no request any more.
+func TestRequestAsItsConnectionIsClosed(t *testing.T) {
+	t.Parallel()
+	for _, decided := range []bool{false, true} {
+		ours, theirs := tcpPair(t)
+		h := heldConn{ours, make(chan struct{}, 1), make(chan struct{})}
+		c := &limitedConn{Conn: h, leave: func() {}}
+		cs := &callers{idle: map[net.Conn]time.Time{c: time.Now().Add(-time.Minute)}}
+		read := make(chan int, 1)
+		go func() {
+			n, _ := c.Read(make([]byte, 100))
+			read <- n
+		}()
+		io.WriteString(theirs, "GET /read/1")
+		wait(t, h.has)
+		if decided {
+			cs.closeIdle(time.Second) // its bytes are on their way through the read
+		}
+		close(h.gate)
+		n := wait(t, read)
+		if !decided {
+			cs.closeIdle(time.Second)
+		}
+		if want := map[bool]int{false: 11, true: 0}[decided]; n != want || c.closed.Load() != decided {
+			t.Errorf("decided before: %v, %d bytes read, closed %v", decided, n, c.closed.Load())
+		}
+	}
+}
+
 // A connection that comes up only when a keyed request's window is over carries no repeat of it.
 func TestKeyedPastItsWindow(t *testing.T) {
 	t.Parallel()
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -96,6 +96,11 @@
 		return
 	}
 	defer release()
+	left := make(chan struct{})
+	if r.rest == nil { // else its body's reading shows it
+		defer callerOf(hr).watch(func() { r.departed.Store(true); close(left) })()
+	}
+	r.here = func() bool { return !r.departed.Load() && hr.Context().Err() == nil && !callerOf(hr).left() }
 	f.loop.post(func() { f.loop.accept(r) })
 	var broken chan struct{} // never closed for a request that is all here
 	if r.rest != nil {
@@ -107,7 +112,11 @@
 	case <-broken:
 		f.loop.post(func() { f.loop.gone(r) })
 		reject(w, r.rest.err)
+	case <-left:
+		f.loop.post(func() { f.loop.gone(r) })
+		panic(http.ErrAbortHandler)
 	case <-hr.Context().Done():
+		r.departed.Store(true)
 		f.loop.post(func() { f.loop.gone(r) })
 		if r.rest != nil && !r.rest.whole.Load() {
 			// It is the body that failed: net/http ends the context first.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -41,6 +41,8 @@
 	ran         time.Duration   // when the first attempt was sent that may have run; 0: none may have
 
 	finished atomic.Bool // answered, or its caller has gone; set by the loop alone
+	departed atomic.Bool // its caller was seen to go; the loop may not know yet
+	here     func() bool // asks, at this instant, whether its caller is still there; by any goroutine
 	lastCall *time.Timer // for an answer by the node itself
 	attempts []*attempt
 	out      int // attempts that have not ended
@@ -222,6 +224,9 @@
 		r.answer <- answer{status: http.StatusServiceUnavailable}
 		return
 	}
+	if r.departed.Load() {
+		return // nothing is owed
+	}
 	r.maxAttempts, r.kind = l.maxAttempts, (*l.classes.Load())[r.class]
 	l.nextID++
 	r.id = strconv.FormatUint(l.nextID, 10)
@@ -268,7 +273,7 @@
 
 // gone notes that a caller has closed its connection.
 func (l *loop) gone(r *request) {
-	if l.close(r) {
+	if r.lastCall != nil && l.close(r) { // else it was never accepted
 		l.metrics.outstanding.Add(-1)
 		l.handle(hollyspur.ClientGone{ID: r.id})
 		l.forget(r)
@@ -317,13 +322,13 @@
 	r.attempts = append(r.attempts, at)
 	r.out++
 	s := l.servers[a.Server]
-	if r.finished.Load() || timeout <= 0 && r.rest == nil || s == nil || r.maxAttempts > 0 && at.n >= r.maxAttempts {
+	if r.finished.Load() || r.departed.Load() || timeout <= 0 && r.rest == nil || s == nil || r.maxAttempts > 0 && at.n >= r.maxAttempts {
 		l.queue = append(l.queue, l.end(at, result{ending: hollyspur.Void}))
 		return
 	}
 	by := r.sendBy()
 	out := call{request: r.forward.Clone(ctx), rest: r.rest,
-		begin:   func() bool { return !r.finished.Load() && (by == 0 || l.clock.now() < by) },
+		begin:   func() bool { return !r.finished.Load() && r.here() && (by == 0 || l.clock.now() < by) },
 		started: func(d *download) { l.post(func() { l.started(at, d) }) }}
 	if r.rest != nil {
 		// Its time begins with its last byte. How slow that may be is the caller's body's to say.
@@ -397,6 +402,9 @@
 	if at.begun {
 		l.metrics.outstanding.Add(-1)
 	}
+	if r.departed.Load() && l.close(r) { // the word of it is on its way; nothing may follow meanwhile
+		l.metrics.outstanding.Add(-1)
+	}
 	switch res.ending {
 	case hollyspur.Overloaded, hollyspur.Unreachable, hollyspur.Void: // it never ran
 	default:
--- a/internal/node/share.go
+++ b/internal/node/share.go
@@ -9,7 +9,6 @@
 	"os"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -139,32 +138,3 @@
 	l.room.Broadcast()
 	return l.Listener.Close()
 }
-
-// limitedConn gives its place back when it is closed, and knows whether its peer has sent anything.
-type limitedConn struct {
-	net.Conn
-	leave func()
-	heard atomic.Bool // since it was last idle
-}
-
-func (c *limitedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.heard.Store(true)
-	}
-	return n, err
-}
-
-func (c *limitedConn) Close() error {
-	err := c.Conn.Close()
-	c.leave()
-	return err
-}
-
-// CloseWrite ends sending alone, which lets a peer that still writes read its answer.
-func (c *limitedConn) CloseWrite() error {
-	if half, can := c.Conn.(interface{ CloseWrite() error }); can {
-		return half.CloseWrite()
-	}
-	return errors.ErrUnsupported
-}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -500,18 +500,8 @@
 // alive says that an idle connection is still open and holds no bytes: a server that closed it
 // would reset the next request, and leftover bytes would pass for that request's answer.
 func (c *conn) alive() bool {
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	alive := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		alive = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && alive
+	_, err := peek(c.Conn)
+	return err == syscall.EAGAIN
 }
 
 // dropIdle closes the idle connections to a server.
