Callers that rest make room, and a close ends sending before it ends reading

Need: idle clients may fill the descriptors. Checked: limitListener waits for a place before it accepts, and an idle connection keeps its own for two minutes (idleTimeout); front.crowded closes only after an answer. With every place rested on a request waited in the backlog for 20 s and more (TestRestingCallersMakeRoom without the change). And net/http closes a connection over what it has not read, which is a reset: the caller's next write, or its read of the last answer, ends in ECONNRESET (TestCloseOverUnreadBytes without the change).

Now a full listener closes the connection that has rested for longest, from 2 s on, and looks again every 50 ms; a close ends sending, reads into nothing until the caller closes too, for 0.5 s and 1 MB at the most, and only then gives the place back, which a stopping node waits for.

--- a/internal/node/callerconn.go
+++ b/internal/node/callerconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -21,6 +22,10 @@
 	// aheadMost is how much is read of what a caller sends ahead of its answer, in bytes. Whoever sends more is not
 	// seen to go before its answer.
 	aheadMost = 4 << 10
+	// partTime is how long a closed connection goes on reading, into nothing, so that no reset takes along what the
+	// caller has not read yet, and partMost how much of it, in bytes.
+	partTime = 500 * time.Millisecond
+	partMost = 1 << 20
 )
 
 // limitedConn is a caller's connection. It gives its place back when it is closed for good, and it sees its caller go
@@ -30,6 +35,7 @@
 	leave func()
 
 	state  atomic.Int32
+	broken atomic.Bool // its end is to be a reset
 	closed atomic.Bool
 
 	mu      sync.Mutex
@@ -132,18 +138,40 @@
 	}
 }
 
-// Close gives the place back.
+// Close ends sending, and then reads into nothing until the caller closes too or for a moment: a close over bytes that
+// nobody has read is a reset, which may take the last answer along. The place is given back after that.
 func (c *limitedConn) Close() error {
 	if !c.closed.CompareAndSwap(false, true) {
 		return net.ErrClosed
 	}
-	defer c.leave()
 	c.state.Store(parted)
-	return c.Conn.Close()
+	c.mu.Lock()
+	ended := c.err != nil
+	c.mu.Unlock()
+	if ended || c.broken.Load() || c.CloseWrite() != nil {
+		defer c.leave()
+		return c.Conn.Close()
+	}
+	go func() {
+		defer c.leave()
+		c.Conn.SetReadDeadline(time.Now().Add(partTime))
+		io.Copy(io.Discard, io.LimitReader(c.Conn, partMost)) // an error is an end like any other
+		c.Conn.Close()
+	}()
+	return nil
+}
+
+// evict closes a claimed connection at once, to have its place.
+func (c *limitedConn) evict() {
+	if c.closed.CompareAndSwap(false, true) {
+		c.Conn.Close()
+		c.leave()
+	}
 }
 
 // reset makes the connection's close a reset, which cannot pass for the end of an answer.
 func (c *limitedConn) reset() {
+	c.broken.Store(true)
 	if tcp, is := c.Conn.(*net.TCPConn); is {
 		tcp.SetLinger(0) // an error means that it is closed already
 	}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -13,6 +13,8 @@
 	// drainIdle is how long one stands idle before it is closed. A client that is at work on its
 	// connection uses it by then, and hears from the answer that it is the last.
 	drainIdle = 500 * time.Millisecond
+	// mayGo is how long a caller's connection may rest in any case; after that it can be closed to make room.
+	mayGo = 2 * time.Second
 )
 
 // callers knows which of the callers' connections carry no request now, and since when. net/http holds a
@@ -52,6 +54,29 @@
 	}
 }
 
+// makeRoom closes the connection that has rested for longest, if any has for mayGo.
+func (c *callers) makeRoom() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for {
+		var longest *limitedConn
+		oldest := time.Now().Add(-mayGo)
+		for conn, since := range c.idle {
+			if l, is := conn.(*limitedConn); is && since.Before(oldest) && l.state.Load() == resting {
+				longest, oldest = l, since
+			}
+		}
+		if longest == nil {
+			return false
+		}
+		if longest.claim() {
+			delete(c.idle, longest)
+			longest.evict()
+			return true
+		}
+	}
+}
+
 // drainer makes a front send clients away. While it is on, the front says that it is not ready, serves
 // every request that it gets, and parts with each connection after an answer or once it stands idle.
 type drainer struct {
--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -290,6 +292,101 @@
 	}
 }
 
+// A close over bytes that nobody has read does not reset the connection: the last answer arrives, and its end.
+func TestCloseOverUnreadBytes(t *testing.T) {
+	t.Parallel()
+	for _, more := range []int{0, 100_000} { // that come while it closes
+		ours, theirs := tcpPair(t)
+		left := make(chan struct{})
+		c := &limitedConn{Conn: ours, leave: func() { close(left) }}
+		io.WriteString(theirs, text(100_000))
+		io.WriteString(c, "the last answer")
+		c.Close()
+		if _, err := io.WriteString(theirs, text(more)); err != nil {
+			t.Errorf("%d more bytes: %v", more, err)
+		}
+		theirs.SetReadDeadline(time.Now().Add(limit))
+		if b, err := io.ReadAll(theirs); string(b) != "the last answer" || err != nil {
+			t.Errorf("%d more bytes: %q, %v", more, b, err)
+		}
+		theirs.Close()
+		wait(t, left)
+	}
+}
+
+// Nor does it wait for good for a caller that stays.
+func TestCloseBesideACallerThatStays(t *testing.T) {
+	t.Parallel()
+	ours, _ := tcpPair(t)
+	left := make(chan struct{})
+	c := &limitedConn{Conn: ours, leave: func() { close(left) }}
+	c.Close()
+	wait(t, left)
+	if err := c.Close(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("a second close: %v", err)
+	}
+}
+
+// Callers that rest on every place make room for one that asks; one that is at work does not.
+func TestRestingCallersMakeRoom(t *testing.T) {
+	t.Parallel()
+	hold := make(chan struct{})
+	var first atomic.Bool
+	addr := listen(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			if first.CompareAndSwap(false, true) {
+				<-hold
+			}
+			io.WriteString(c, ok)
+		}
+	})
+	cfg := testConfig("127.0.0.1:1", serving("s", addr))
+	cfg.Sockets = reserved + 20 // 12 for callers
+	n := startNode(t, cfg, nil)
+	n.front.crowded.Store(1000)
+	working := dial(t, n.Addr().String())
+	io.WriteString(working, head("GET", "/read/1", ""))
+	for !first.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	for range n.listener.limit - 1 {
+		conn := dial(t, n.Addr().String())
+		io.WriteString(conn, head("GET", "/read/1", ""))
+		if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || resp.StatusCode != 200 || resp.Close {
+			t.Fatalf("%+v, %v", resp, err)
+		}
+	}
+	late := dial(t, n.Addr().String())
+	io.WriteString(late, head("GET", "/read/1", ""))
+	for end := time.Now().Add(limit); ; time.Sleep(time.Millisecond) { // they all rest, and have for long
+		c := &n.front.callers
+		c.mu.Lock()
+		resting := len(c.idle)
+		if resting == n.listener.limit-1 {
+			for conn := range c.idle {
+				c.idle[conn] = time.Now().Add(-mayGo)
+			}
+		}
+		c.mu.Unlock()
+		if resting == n.listener.limit-1 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d rest", resting)
+		}
+	}
+	if resp, err := http.ReadResponse(bufio.NewReader(late), nil); err != nil || resp.StatusCode != 200 {
+		t.Errorf("%+v, %v", resp, err)
+	}
+	close(hold)
+	if resp, err := http.ReadResponse(bufio.NewReader(working), nil); err != nil || resp.StatusCode != 200 {
+		t.Errorf("at work: %+v, %v", resp, err)
+	}
+}
+
 // A connection that comes up only when a keyed request's window is over carries no repeat of it.
 func TestKeyedPastItsWindow(t *testing.T) {
 	t.Parallel()
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -69,9 +69,9 @@
 	finishMost = time.Minute
 )
 
-// finish waits until every connection is done with, while it drains.
-func (f *front) finish() {
-	for end := time.Now().Add(finishMost); f.conns.Load() > 0 && time.Now().Before(end); {
+// finish waits until every connection is done with, while it drains: taken counts those not closed for good.
+func (f *front) finish(taken func() int) {
+	for end := time.Now().Add(finishMost); (f.conns.Load() > 0 || taken() > 0) && time.Now().Before(end); {
 		time.Sleep(finishPoll)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,6 +73,7 @@
 	l := newLoop(cfg, m, newUpstream(cfg, 1, counts, budgetFor(cfg)), newDiscovery(cfg.Discovery), counts)
 	n := &Node{loop: l, front: newFront(l), cfg: cfg, known: cfg.Known, linger: linger,
 		listener: newLimitListener(persistentListener{listener}, 1)}
+	n.listener.makeRoom = n.front.callers.makeRoom
 	n.setShare(1)
 	if err := n.followRegistry(); err != nil {
 		listener.Close()
@@ -236,6 +237,6 @@
 	} // else the successor takes what is in the backlog
 	n.listener.Close()
 	<-served // returned for that, if for nothing before
-	n.front.finish()
+	n.front.finish(n.listener.taken)
 	return nil
 }
--- a/internal/node/share.go
+++ b/internal/node/share.go
@@ -76,6 +76,7 @@
 // limitListener accepts while fewer than its limit of the accepted connections are open.
 type limitListener struct {
 	net.Listener
+	makeRoom func() bool // closes a connection that may go, if there is one; nil: none may
 
 	mu     sync.Mutex
 	room   *sync.Cond // a place may be free, or the listener is closed
@@ -110,11 +111,23 @@
 	return &limitedConn{Conn: c, leave: sync.OnceFunc(l.leave)}, nil
 }
 
-// enter waits for a place; false: the listener was closed.
+// roomPoll is how often a listener without a place looks for a connection that may go by now.
+const roomPoll = 50 * time.Millisecond
+
+// enter waits for a place; false: the listener was closed. Whoever rests on one makes room.
 func (l *limitListener) enter() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for l.open >= l.limit && !l.closed {
+		if l.makeRoom != nil {
+			l.mu.Unlock()
+			made := l.makeRoom()
+			l.mu.Lock()
+			if made {
+				continue
+			}
+			time.AfterFunc(roomPoll, l.room.Broadcast)
+		}
 		l.room.Wait()
 	}
 	if l.closed {
@@ -131,6 +144,13 @@
 	l.room.Signal()
 }
 
+// taken is how many accepted connections are not closed for good yet.
+func (l *limitListener) taken() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open
+}
+
 func (l *limitListener) Close() error {
 	l.mu.Lock()
 	l.closed = true
