Cold servers get within their budget by the sum of all nodes

Lines at fault: warmEnough thins a draw against the other draws, and narrow's fallback takes any idle cold server; where warm ones are scarce neither bounds a sum, and one call at a time of each node grows with the nodes.

Now a copy compares the room that is listed with the servers its own calls had gone to; where thinned draws would overrun two thirds of the budget, each cold server gets a number of calls drawn anew every FallFor from what it has borne of this copy, over all copies the budget. What is over is shed. Not taken: a bucket of tokens for each copy (idle copies all have one when load comes), and the bound on every cold draw (copies with a call a second would leave cold servers idle in an ordinary deploy).

--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -274,6 +274,34 @@
 	}
 }
 
+// Where a deploy leaves a list of cold servers alone, however many nodes there are, they shed before they push one over.
+func TestColdServersAlone(t *testing.T) {
+	t.Parallel()
+	names := func(from, to int) string {
+		var l []string
+		for i := from; i < to; i++ {
+			l = append(l, fmt.Sprintf("\"web-%d\"", i))
+		}
+		return strings.Join(l, ", ")
+	}
+	text := strings.ReplaceAll(strings.Replace(small, "servers = 4", "servers = 20", 1), "\"5ms\"", "\"100ms\"")
+	text = strings.ReplaceAll(strings.ReplaceAll(text, "\"500ms\"", "\"2s\""), "\"1s\"", "\"4s\"") +
+		"\n[[fault]]\nkind = \"crash\"\nat = \"2s\"\nfor = \"500ms\"\nnames = [" + names(0, 2) + "]\n" +
+		"\n[[fault]]\nkind = \"drain\"\nat = \"3500ms\"\nfor = \"3s\"\nnames = [" + names(2, 20) + "]\n"
+	for nodes, rate := range map[string]string{"3": "180", "30": "300", "200": "180", "300": "300"} {
+		for seed := uint64(1); seed <= 3; seed++ {
+			s := parse(t, text, "nodes="+nodes, "duration=10s", "load.rate="+rate, "discovery.notice=300ms")
+			r, err := Run(t.Context(), s, Options{Seed: seed, Virtual: true})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if r.RulesBroken > 0 || r.Asked < 1000 {
+				t.Errorf("%s nodes, seed %d: %d requests, broken %v: %+v", nodes, seed, r.Asked, r.Rules, r.Violations)
+			}
+		}
+	}
+}
+
 // Two people drain a zone each at the same time: on both clocks no more is out than the budget allows.
 func TestDrainsByBudget(t *testing.T) {
 	t.Parallel()
--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -406,7 +406,7 @@
 const fallSlices = 20
 
 // weigh adds what is sent to a cold server up, refused attempts too, and pushes it over if that is too much:
-// within any span of fall_for more than N requests of mean work, and some for chance: N + 3 roots of N + 3. N is
+// within any span of fall_for more than N requests of mean work, and some for chance: N + 2 roots of N + 2. N is
 // fall_multiple times what it can do in that span.
 func (s *Server) weigh(a *Attempt) {
 	l := &s.w.Site.Limits
@@ -429,7 +429,7 @@
 		sum += v
 	}
 	mean := float64(s.w.Site.MeanWork(s.Tier))
-	if n := l.FallMultiple * s.Capacity * s.Warmth() * float64(l.FallFor) / mean; sum > (n+3*math.Sqrt(n)+3)*mean {
+	if n := l.FallMultiple * s.Capacity * s.Warmth() * float64(l.FallFor) / mean; sum > (n+2*math.Sqrt(n)+2)*mean {
 		s.w.Observer.Fell(s.Index)
 		s.fail(false)
 	}
--- a/policy.go
+++ b/policy.go
@@ -41,6 +41,7 @@
 	crowding    = 2    // own calls, above the mean, at which a server is passed over
 	subsetLeast = 4    // servers that a copy draws from at the least
 	subsetShare = 3.0  // and at the least this many times its fair share of the servers
+	coldSpent   = 0.67 // of a cold server's budget; the rest is for chance
 )
 
 // ---- Events ----
@@ -310,6 +311,8 @@
 	r.out++
 	b.unhold(r)
 	s.calls++
+	s.allowed--
+	b.keepPace()
 	if !r.long { // the server has nothing to do before the last byte
 		b.count(a)
 	}
@@ -545,10 +548,10 @@
 // eligible says which ready servers may be drawn for a request: those in its scope that it has not
 // tried, fit, warm enough and, as long as that leaves any, with room. A copy's subset comes first.
 func (b *Balancer) eligible(r *request) (cold []*server) {
-	unfit := b.ruledOut(r)
-	for _, from := range [][]*server{b.subset, b.ready} {
+	unfit, scarce := b.ruledOut(r), b.scarce()
+	for i, from := range [][]*server{b.subset, b.ready} {
 		for _, limit := range []func(*server) int{b.crowded, b.roomy, unlimited} {
-			warm, idle := b.narrow(r, from, unfit, limit)
+			warm, idle := b.narrow(r, from, unfit, limit, scarce, i > 0)
 			if warm != nil {
 				return warm
 			}
@@ -612,14 +615,16 @@
 	return int(max(least, mostOut*(1-b.shed)*float64(len(b.ready))))
 }
 
-// narrow applies everything but the fallbacks. Apart it gives the idle cold servers: a request's first
-// try may go to one, whatever the thinning, when a deploy has left no warm server in the whole list.
+// narrow applies everything but the fallbacks. Apart it gives the idle cold servers: a request's first try may
+// go to one, whatever the thinning, when a deploy has left no warm server in the whole list, as far as it is
+// affordable. Beyond the subset, which other copies count on, none is while warm ones are scarce.
 func (b *Balancer) narrow(r *request, from []*server, unfit map[*server]bool,
-	limit func(*server) int) (warm, idle []*server) {
+	limit func(*server) int, scarce, beyond bool) (warm, idle []*server) {
 	var small []*server
 	for _, s := range from {
 		switch {
 		case unfit[s] || s.calls >= limit(s) || !b.inScope(r, s) || tried(r, s):
+		case scarce && b.warmth(s) < 1 && (beyond || !b.affordable(s, r.class)):
 		case b.warmEnough(s) && b.sizeEnough(s):
 			warm = append(warm, s)
 		case b.warmth(s) == 1:
@@ -820,6 +825,48 @@
 	return w == 1 || (s.calls == 0 && b.rng.Float64() < w)
 }
 
+// keepPace notes a call: how many this copy makes, and how many of them a server gets, within WarmAfter.
+// What cold servers are spared while warm ones are scarce says nothing of what a server bears.
+func (b *Balancer) keepPace() {
+	if !b.scant {
+		kept := math.Exp(-float64(b.now-b.pacedAt) / float64(max(1, b.set.WarmAfter)))
+		b.sends, b.pace = b.sends*kept+1, b.pace*kept+1/float64(max(1, len(b.ready)))
+	}
+	b.pacedAt = b.now
+}
+
+// scarce says that thinned draws would overrun the budgets of cold servers. Within FallFor one bears
+// N = FallMultiple x warmth x capacity x FallFor calls, and a server has had so much of its capacity as this
+// copy's calls over the servers there were. Drawn by warmth from fewer, a cold one gets more than its warmth
+// of that: up to coldSpent x N it may.
+func (b *Balancer) scarce() bool {
+	room := 0.0
+	for _, s := range b.subset {
+		room += b.warmth(s)
+	}
+	cold := room < float64(len(b.subset))
+	room *= float64(len(b.ready)) / float64(max(1, len(b.subset)))
+	b.scant = cold && b.set.FallFor > 0 && coldSpent*b.set.FallMultiple*room*b.pace < b.sends
+	return b.scant
+}
+
+// affordable bounds what all copies together send to a cold server while warm ones are scarce. Of its
+// capacity a copy knows the own calls that a server has had, whose sum over the copies it has borne, or, with
+// next to none made, that it does one call at a time, for all copies; it is in the subsets of a part of them.
+// So much, times coldSpent, is drawn anew every FallFor, with its fraction as a chance. Any FallFor meets two
+// draws at the most: N on the average where servers had three quarters of their capacity, with a variance
+// under N, however many the copies are and whichever of them have the requests.
+func (b *Balancer) affordable(s *server, c *class) bool {
+	if b.now >= s.drawn {
+		capacity := max(b.pace/float64(max(1, b.set.WarmAfter)), // in calls an ns
+			1/(max(1, c.mean)*float64(max(1, b.set.Balancers))))
+		part := float64(len(b.subset)) / float64(len(b.ready))
+		n := b.set.FallMultiple * b.warmth(s) * capacity / part * float64(b.set.FallFor)
+		s.allowed, s.drawn = int(coldSpent*n+b.rng.Float64()), b.now+b.set.FallFor
+	}
+	return s.allowed > 0
+}
+
 // ---- Further attempts ----
 
 // maySendAgain says that the class's effect and the limits allow one more attempt now.
--- a/policy_test.go
+++ b/policy_test.go
@@ -1049,3 +1049,82 @@
 		})
 	}
 }
+
+// Copies that are left with cold servers alone keep together to what these bear, whichever of them have the requests:
+// N and 2 roots of N + 2 within FallFor, N by what a warm server had borne.
+func TestColdBudgetOverAllCopies(t *testing.T) {
+	for _, copies := range []int{3, 30, 300} {
+		rng := rand.New(rand.NewPCG(uint64(copies), 1))
+		set := testSettings()
+		set.Balancers = copies
+		const listed, left, rate = 20, 2, 200.0 // requests a second
+		all := servers(listed)
+		var bs []*Balancer
+		for i := range copies {
+			set.Index = i
+			b, err := New(set, uint64(i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Handle(0, ServerList{Full: true, Servers: all})
+			bs = append(bs, b)
+		}
+		type end struct {
+			at  time.Duration
+			b   *Balancer
+			out Outcome
+		}
+		var ends []end
+		sent := map[string][]time.Duration{}           // to cold servers
+		shrink, over := 10*time.Second, 19*time.Second // by then they are warm
+		do := func(b *Balancer, now time.Duration, acts []Action) {
+			for _, s := range sends(acts) {
+				ends = append(ends, end{now + 100*msec, b, Outcome{ID: s.ID, Server: s.Server, Ending: Success, Ended: true}})
+				if now >= shrink {
+					sent[s.Server] = append(sent[s.Server], now)
+				}
+			}
+		}
+		for now, n := time.Duration(0), 0; now < over; now += time.Duration(rng.ExpFloat64() / rate * 1e9) {
+			for len(ends) > 0 && ends[0].at <= now {
+				e := ends[0]
+				ends = ends[1:]
+				do(e.b, e.at, e.b.Handle(e.at, e.out))
+			}
+			if shrink > 0 && now >= shrink && n >= 0 {
+				for _, b := range bs {
+					cold := slices.Clone(all[:left])
+					for i := range cold {
+						cold[i].Boot = shrink - time.Second
+					}
+					do(b, now, b.Handle(now, ServerList{Full: true, Servers: cold}))
+				}
+				n = -1 << 30
+			}
+			n++
+			// Every third request goes to a tenth of the copies.
+			b := bs[rng.IntN(copies)]
+			if n%3 == 0 {
+				b = bs[rng.IntN(max(1, copies/10))]
+			}
+			do(b, now, b.Handle(now, Request{ID: fmt.Sprint(copies, "-", now), Class: "get", Deadline: now + 1500*msec}))
+		}
+		for id, l := range sent {
+			for i, from := range l {
+				k := i
+				for k < len(l) && l[k] < from+set.FallFor {
+					k++
+				}
+				age := float64(from+set.FallFor-shrink+time.Second) / float64(set.WarmAfter)
+				warmth := set.ColdFrom + (1-set.ColdFrom)*min(1, age)
+				bears := set.FallMultiple * warmth * rate / listed / 0.75 * set.FallFor.Seconds()
+				if most := bears + 2*math.Sqrt(bears) + 2; float64(k-i) > most {
+					t.Fatalf("%d copies sent %d calls to %s within %v of %v, with %.0f at the most", copies, k-i, id, set.FallFor, from, most)
+				}
+			}
+		}
+		if len(sent) != left {
+			t.Errorf("%d copies: cold servers got %v", copies, sent)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -34,6 +34,10 @@
 	calm      float64       // the same over four times as many answers
 	bare      float64       // least calm seen, forgetting slowly
 	debtAt    time.Duration // when that was reckoned
+	sends     float64       // own calls within WarmAfter, decaying
+	pace      float64       // the same for each server
+	pacedAt   time.Duration // when they were reckoned
+	scant     bool          // warm servers were too few at the last pick; see scarce
 	inFlight  int
 	shed      float64   // share of requests answered without an attempt
 	recalled  *recalled // from before the start, until a list has come; nil: nothing
@@ -121,6 +125,8 @@
 	room     int           // own calls that it had taken when it refused one more
 	full     time.Duration // no more than room until then
 	refusals int           // in a row
+	allowed  int           // own calls that it may still get while it is cold; see affordable
+	drawn    time.Duration // until when
 	watched  bool          // it is among the Balancer's watched
 	moving   bool          // its place in the order is to be found anew
 }
