What was learned under a setting goes with it; decisions are shown to scale

Observed by reading and by test: after SIGHUP with a shorter deadline every first try of the class counted as a client's repeat (retune kept longestTry, backdate holds against it), so it was worth its late share and held for less; and the fill of the window, told in parts of the aims, stood as it was when the aims changed.

Now a class whose deadline changes forgets what its tries had shown, and fill, calm and bare are told in the new aims, weighed by what came lately.

Also a test over five deployments, two of them like those in deploy/sites: the same decisions with every time 8 and 64 times as long, and none outside the settings' bounds.

--- a/policy.go
+++ b/policy.go
@@ -615,9 +615,9 @@
 	return int(max(least, mostOut*(1-b.shed)*float64(len(b.ready))))
 }
 
-// narrow applies everything but the fallbacks. Apart it gives the idle cold servers: a request's first try may
-// go to one, whatever the thinning, when a deploy has left no warm server in the whole list, as far as it is
-// affordable. Beyond the subset, which other copies count on, none is while warm ones are scarce.
+// narrow applies everything but the fallbacks. Apart it gives the idle cold servers: a request's first try
+// may go to one, whatever the thinning, when a deploy has left no warm server in the whole list, as far as it
+// is affordable. Beyond the subset, which other copies count on, none is while warm ones are scarce.
 func (b *Balancer) narrow(r *request, from []*server, unfit map[*server]bool,
 	limit func(*server) int, scarce, beyond bool) (warm, idle []*server) {
 	var small []*server
--- /dev/null
+++ b/scale_test.go
@@ -0,0 +1,248 @@
+package hollyspur
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// deployments differ wherever an assumption of one could hide: their settings, with times at the scale 1.
+func deployments() map[string]Settings {
+	class := func(name string, e Effect, scope Scope, aim, deadline, window time.Duration, worth, late float64) Class {
+		return Class{Name: name, Effect: e, Scope: scope, Aim: aim, Deadline: deadline, Window: window, Worth: worth, LateShare: late}
+	}
+	base := testSettings()
+	seven := base // like deploy/sites/mombasa-freight.toml
+	seven.Classes = []Class{class("track", Safe, ScopeAll, 700*msec, 1500*msec, 0, 2, 0.2),
+		class("track-fleet", Safe, ScopeAll, 4*time.Second, 15*time.Second, 0, 4, 0.1),
+		class("book", Keyed, ScopeZone, 2200*msec, 6*time.Second, 5*time.Second, 6, 0),
+		class("booking", Unsafe, ScopeAll, 2*time.Second, 5*time.Second, 0, 5, 0),
+		class("pay", Unsafe, ScopeAll, 2500*msec, 6*time.Second, 0, 12, 0),
+		class("quote", Safe, ScopeAll, 1200*msec, 3*time.Second, 0, 3, 0.3),
+		class("seal", Keyed, ScopeCell, 2600*msec, 7*time.Second, 40*msec, 7, 0)} // a window shorter than its work
+	seven.AskDiscovery, seven.AskWithin, seven.MaxAttempts, seven.SecondCopies = true, 8*time.Second, 3, false
+	seven.WarmAfter, seven.FallMultiple, seven.FallFor, seven.Balancers = 14*time.Second, 2.5, 1500*msec, 5
+	one := base // like deploy/sites/tromso-meter.toml
+	one.Classes = []Class{class("reading", Unsafe, ScopeAll, 900*msec, 2500*msec, 0, 1, 0.5)}
+	one.MayCancel, one.MaxAttempts, one.WarmAfter, one.FallMultiple, one.FallFor = false, 2, 3*time.Second, 4, 3*time.Second
+	one.Balancers = 1
+	deep := base
+	deep.Tier, deep.Balancers, deep.Sizes, deep.MaxAttempts = 2, 40, SizesRough, 1
+	bare := Settings{Classes: []Class{class("x", Keyed, ScopeAll, 50*msec, 60*msec, 20*msec, 0, 1)}, Tick: msec}
+	return map[string]Settings{"as in the other tests": base, "seven classes": seven, "one class": one, "a deeper tier": deep,
+		"next to nothing": bare}
+}
+
+// scaled is the settings with every time so many times as long.
+func (s Settings) scaled(k int64) Settings {
+	t := func(d *time.Duration) { *d *= time.Duration(k) }
+	s.Classes = append([]Class(nil), s.Classes...)
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		t(&c.Window)
+		t(&c.Aim)
+		t(&c.Deadline)
+	}
+	for _, d := range []*time.Duration{&s.AskWithin, &s.Tick, &s.MaxRetryAfter, &s.WarmAfter, &s.FallFor, &s.Remember} {
+		t(d)
+	}
+	return s
+}
+
+// due is an event at a time; events of one time keep the order in which they were planned.
+type due struct {
+	at time.Duration
+	n  int
+	e  Event
+}
+
+type plan []due
+
+func (p plan) Len() int { return len(p) }
+func (p plan) Less(i, j int) bool {
+	return p[i].at < p[j].at || p[i].at == p[j].at && p[i].n < p[j].n
+}
+func (p plan) Swap(i, j int) { p[i], p[j] = p[j], p[i] }
+func (p *plan) Push(x any)   { *p = append(*p, x.(due)) }
+func (p *plan) Pop() any {
+	old := *p
+	d := old[len(old)-1]
+	*p = old[:len(old)-1]
+	return d
+}
+
+// decision is what was decided, and when at the scale 1.
+type decision struct {
+	at   time.Duration
+	what string
+}
+
+// like says that two are the same but for the rounding of a wake.
+func (d decision) like(o decision) bool {
+	return d.what == o.what && (d.at-o.at).Abs() <= 10*time.Microsecond
+}
+
+// replay plays a day of requests, endings and lists at a scale and returns what was decided, with the times at the
+// scale 1. It fails the test for what leaves the settings' bounds.
+func replay(t *testing.T, set Settings, k int64) []decision {
+	t.Helper()
+	longest, shortest := set.Classes[0].Deadline, set.Classes[0].Aim
+	for _, c := range set.Classes {
+		longest, shortest = max(longest, c.Deadline), min(shortest, c.Aim)
+	}
+	set = set.scaled(k)
+	b, err := New(set, 11)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const unit = time.Microsecond
+	rng := rand.New(rand.NewPCG(5, 6))
+	events := &plan{}
+	planned := 0
+	push := func(at time.Duration, e Event) { // at the scale 1, in whole units
+		planned++
+		heap.Push(events, due{at.Truncate(unit) * time.Duration(k), planned, e})
+	}
+	list := servers(9)
+	push(0, ServerList{Full: true, Cached: true, Servers: list})
+	push(longest/8, ServerList{Full: true, Servers: list})
+	push(longest/4, ListFailed{})
+	changed := append([]Server(nil), list...)
+	changed[0].State, changed[1].State = Draining, Gone
+	for i := 2; i < 5; i++ {
+		changed[i].Boot = (longest / 2).Truncate(unit) * time.Duration(k)
+	}
+	push(longest/2, ServerList{Servers: changed})
+	type state struct {
+		class    Class
+		deadline time.Duration
+		answered bool
+		attempts int
+		ran      time.Duration // when the first went out that may have run; under 0: none
+	}
+	requests := map[string]*state{}
+	for i := range 4000 {
+		at := time.Duration(rng.Float64() * float64(2*longest))
+		c := set.Classes[rng.IntN(len(set.Classes))]
+		left := (c.Deadline / time.Duration(k)).Truncate(unit)
+		id := fmt.Sprint(i)
+		r := &state{class: c, deadline: (at.Truncate(unit) + left) * time.Duration(k), ran: -1}
+		requests[id] = r
+		push(at, Request{ID: id, Class: c.Name, Deadline: r.deadline})
+	}
+	var log []decision
+	said := func(at time.Duration, format string, args ...any) {
+		log = append(log, decision{at, fmt.Sprintf(format, args...)})
+	}
+	tick := set.Tick
+	for events.Len() > 0 {
+		d := heap.Pop(events).(due)
+		now := d.at
+		if o, is := d.e.(Outcome); is && o.Ended {
+			requests[o.ID].answered = true
+		}
+		for _, a := range b.Handle(now, d.e) {
+			one := func(at time.Duration) time.Duration { return at / time.Duration(k) }
+			switch a := a.(type) {
+			case Send:
+				r := requests[a.ID]
+				said(one(now), "send %s to %s", a.ID, a.Server)
+				r.attempts++
+				switch {
+				case r.answered:
+					t.Errorf("%s is sent after its answer", a.ID)
+				case set.MaxAttempts > 0 && r.attempts > set.MaxAttempts:
+					t.Errorf("%s: attempt %d of %d", a.ID, r.attempts, set.MaxAttempts)
+				case a.Timeout > max(r.deadline-now, tick):
+					t.Errorf("%s: waits %v with %v left", a.ID, a.Timeout, r.deadline-now)
+				case r.ran >= 0 && (r.class.Effect == Unsafe || r.class.Effect == Keyed && now >= r.ran+r.class.Window):
+					t.Errorf("%s of %s is sent again %v after it may have run", a.ID, r.class.Name, now-r.ran)
+				}
+				took := time.Duration(rng.ExpFloat64() * float64(shortest) / 6)
+				ending := Success
+				if rng.IntN(4) == 0 {
+					ending = []Ending{Failure, Overloaded, Unreachable, Broken, TimedOut, Void}[rng.IntN(6)]
+				}
+				if wait := one(a.Timeout); took > wait { // the host gives it up
+					took, ending = wait, TimedOut
+				}
+				if ending != Overloaded && ending != Unreachable && ending != Void && r.ran < 0 {
+					r.ran = now
+				}
+				push(one(now)+took, Outcome{ID: a.ID, Attempt: r.attempts - 1, Server: a.Server, Ending: ending, Ended: ending == Success})
+			case Refuse, Fail:
+				id, after := "", time.Duration(0)
+				if f, is := a.(Fail); is {
+					id = f.ID
+				} else {
+					id, after = a.(Refuse).ID, a.(Refuse).RetryAfter
+				}
+				r := requests[id]
+				said(one(now), "%T %s", a, id)
+				if r.answered || now > r.deadline+tick || after > set.MaxRetryAfter {
+					t.Errorf("%s: %T at %v, due %v, come back %v", id, a, now, r.deadline, after)
+				}
+				r.answered = true
+			case Wake:
+				if a.At <= now {
+					t.Errorf("a wake at %v, asked for at %v", a.At, now)
+				}
+				push((one(a.At) + unit).Truncate(unit), Timer{Token: a.Token})
+			case Subscribe:
+				said(one(now), "subscribe")
+			}
+		}
+	}
+	for id, r := range requests {
+		if !r.answered {
+			t.Errorf("%s of %s has no answer", id, r.class.Name)
+		}
+	}
+	return log
+}
+
+// No decision rests on a time that is not a setting's: with all of them eight or sixty-four times as long the same is
+// decided, at times so many times as late, and nothing leaves the settings' bounds.
+func TestDecisionsScaleWithTheSettings(t *testing.T) {
+	for name, set := range deployments() {
+		want := replay(t, set, 1)
+		for _, k := range []int64{8, 64} {
+			got := replay(t, set, k)
+			for i := range max(len(got), len(want)) {
+				if i >= len(got) || i >= len(want) || !got[i].like(want[i]) {
+					t.Errorf("%s, %d times as slow: decision %d of %d is %v, was %v", name, k, i, len(want),
+						append(got, decision{})[min(i, len(got))], append(want, decision{})[min(i, len(want))])
+					break
+				}
+			}
+		}
+		if len(want) < 4000 {
+			t.Errorf("%s: %d decisions for 4,000 requests", name, len(want))
+		}
+	}
+}
+
+// What a setting had shown goes with it: a shorter deadline makes no repeats of first tries, and what was learned in
+// parts of an aim holds for the aim that is in force.
+func TestRetunedSettingsTakeTheirTracesAlong(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+	for i := range 20 {
+		id := fmt.Sprint(i)
+		s := sends(b.Handle(time.Duration(i)*msec, Request{ID: id, Class: "get", Deadline: time.Duration(i)*msec + 1500*msec}))
+		b.Handle(time.Duration(i)*msec+100*msec, Outcome{ID: id, Server: s[0].Server, Ending: Success, Ended: true})
+	}
+	fill := b.fill
+	next := testSettings()
+	next.Classes[0].Aim, next.Classes[0].Deadline = 250*msec, 600*msec
+	b.Handle(200*msec, Retuned{Settings: next})
+	if got := b.fill / fill; got < 1.99 || got > 2.01 {
+		t.Errorf("half the aim: a fill of %.3f became %.3f", fill, b.fill)
+	}
+	b.Handle(200*msec, Request{ID: "first", Class: "get", Deadline: 800 * msec})
+	if r := b.requests["first"]; r.repeat || r.arrived != 200*msec {
+		t.Errorf("a first try counts as a repeat, its client's first at %v", r.arrived)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -78,7 +78,8 @@
 }
 
 // retune puts new settings in force. Requests in hand keep their class as it was, and what was learned of
-// a class goes over to the one of its name. Settings that New would refuse change nothing.
+// a class goes over to the one of its name, but for what its deadline had shown, if that changes. What was
+// learned in parts of the aims is told in those of the new ones. Settings that New would refuse change nothing.
 func (b *Balancer) retune(set Settings) {
 	if set.Validate() != nil {
 		return
@@ -86,11 +87,22 @@
 	learned := b.classes
 	b.set, b.classes, b.order = set, map[string]*class{}, nil
 	b.addClasses()
+	var calls, parts float64 // of what came lately, and how much longer it is in parts of its aim
 	for name, k := range b.classes {
 		if was := learned[name]; was != nil {
 			c := k.Class
 			*k = *was
 			k.Class = c
+			if c.Deadline != was.Deadline {
+				k.longestTry = 0
+			}
+			calls += was.arrive
+			parts += was.arrive * float64(was.Aim) / float64(c.Aim)
+		}
+	}
+	if calls > 0 {
+		for _, v := range []*float64{&b.fill, &b.calm, &b.bare} {
+			*v = min(1, *v*parts/calls)
 		}
 	}
 	b.arrange(nil)
