--- /dev/null
+++ b/ci_test.go
@@ -0,0 +1,51 @@
+package hollyspur_test
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// .ci/known-red leaves out exactly the tests that its file names, and takes no line that it does not understand.
+func TestKnownRed(t *testing.T) {
+	t.Parallel()
+	const tests = "TestA\nTestAB\nTestB\nTestC\nTestD\nTestTwice\nTestTwice\n"
+	line := func(name string) string { return name + " | the cause | issue 7\n" }
+	for name, c := range map[string]struct{ file, flag, says string }{
+		"empty":              {"", "", ""},
+		"one":                {line("TestA"), "-skip=^(TestA)$", "left out: TestA | the cause"},
+		"three, no last end": {line("TestA") + line("TestB") + strings.TrimSpace(line("TestC")), "-skip=^(TestA|TestB|TestC)$", "TestC"},
+		"four":               {line("TestA") + line("TestB") + line("TestC") + line("TestD"), "", "line 4: a fourth"},
+		"unknown":            {line("TestNone"), "", "line 1: there is no test TestNone"},
+		"a part of a name":   {line("TestT"), "", "line 1: there is no test TestT"},
+		"of two packages":    {line("TestTwice"), "", "line 1: more than one test"},
+		"the same again":     {line("TestA") + line("TestA"), "", "line 2: TestA comes twice"},
+		"no cause":           {"TestA |  | issue 7\n", "", "line 1: not of the form"},
+		"no issue":           {"TestA | the cause\n", "", "line 1: not of the form"},
+		"a pattern":          {"Test.* | the cause | issue 7\n", "", "line 1: not of the form"},
+		"an empty line":      {line("TestA") + "\n", "", "line 2: not of the form"},
+	} {
+		dir := t.TempDir()
+		file, list := filepath.Join(dir, "KNOWN-RED.txt"), filepath.Join(dir, "tests")
+		for path, text := range map[string]string{file: c.file, list: tests} {
+			if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var out, errs bytes.Buffer
+		cmd := exec.Command(".ci/known-red", file, list)
+		cmd.Stdout, cmd.Stderr = &out, &errs
+		err := cmd.Run()
+		failed := c.flag == "" && c.file != ""
+		if (err != nil) != failed || strings.TrimSpace(out.String()) != c.flag || !strings.Contains(errs.String(), c.says) ||
+			failed && strings.Count(errs.String()[strings.Index(errs.String(), ": line"):], "\n") != 1 {
+			t.Errorf("%s: %v, %q, %q", name, err, out.String(), errs.String())
+		}
+	}
+	if out, err := exec.Command(".ci/known-red", filepath.Join(t.TempDir(), "none"), os.DevNull).Output(); err != nil || len(out) > 0 {
+		t.Errorf("without a file: %v, %q", err, out)
+	}
+}
