--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -343,11 +343,13 @@
 		"invent":    {rule: oracle.Phantom},
 		"alter":     {rule: oracle.Phantom},
 		"make-up":   {rule: oracle.Spoilt},
+		"late":      {rule: oracle.Gone, set: "clients.impatient=0.9"},
 		"die":       {rule: oracle.Crash},
 		"hoard":     {rule: oracle.Limits, set: "limits.sockets=64"},
 		"resend":    {rule: oracle.Twice, fault: killed + slow, set: "state.keep=true"},
 		"right":     {fault: drain + fresh + killed + slow, set: "state.keep=true"},
 		"right too": {fault: cutDrain, set: "load.rate=300"},
+		"right 3":   {fault: slow + "\n[[fault]]\nkind = \"delay\"\nat = \"100ms\"\nfor = \"2s\"\ndelay = \"60ms\"\n", set: "clients.impatient=0.9"},
 	} {
 		t.Run(mode, func(t *testing.T) {
 			t.Parallel()
--- a/internal/lab/oracle/oracle.go
+++ b/internal/lab/oracle/oracle.go
@@ -22,12 +22,13 @@
 	Cold     = "cold"     // no cold server is pushed over
 	Phantom  = "phantom"  // nothing arrives that no client sent
 	Spoilt   = "spoilt"   // a served answer is one that a server made for this request
+	Gone     = "gone"     // nothing begins to go out for a sender that has left
 	Crash    = "crash"    // no node's process ends by itself, or fails to start
 	Limits   = "limits"   // no node's process holds more memory or descriptors than it may
 )
 
 // Rules are the names of all rules.
-var Rules = []string{Lost, Twice, Keyed, Copies, Promised, Drained, Cold, Phantom, Spoilt, Crash, Limits}
+var Rules = []string{Lost, Twice, Keyed, Copies, Promised, Drained, Cold, Phantom, Spoilt, Gone, Crash, Limits}
 
 // Violation is a rule broken, by which request and how it went.
 type Violation struct {
@@ -45,6 +46,13 @@
 	remembered = 30 * time.Second
 )
 
+// goneWithin is how long after its sender has left an attempt may still begin. Up to goneChance cases of more in a run
+// are chance.
+const (
+	goneWithin = 100 * time.Millisecond
+	goneChance = 2
+)
+
 // Oracle is a model.Observer. It belongs to the loop.
 type Oracle struct {
 	Violations []Violation
@@ -60,6 +68,7 @@
 	told    map[pair]news
 	outages [][]outage // by node
 	cold    map[int]*warming
+	gone    int // attempts that began too long after their sender had left
 }
 
 type pair struct{ node, server int }
@@ -99,6 +108,7 @@
 type record struct {
 	call   *model.Call
 	end    time.Duration // when it was answered or left; 0: open
+	left   bool          // by its sender
 	reply  string
 	seen   []*sight
 	answer bool
@@ -200,7 +210,7 @@
 func (o *Oracle) Left(c *model.Call) {
 	r := o.calls[c.ID]
 	now := o.loop.Now()
-	r.end, r.reply = now, "its sender left"
+	r.end, r.reply, r.left = now, "its sender left", true
 	if now > o.due(c, now) && !o.excused(c, now) {
 		o.violated(Lost, r, "no answer %v after it was sent, with %v to answer it", now-c.Sent, c.Left)
 	}
@@ -277,6 +287,16 @@
 	r.seen = append(r.seen, &sight{a: a, server: server, at: now})
 	o.checkDrained(r, a, server)
 	o.checkRepeat(r)
+	o.checkGone(r, a)
+}
+
+// checkGone wants that no attempt begins for a sender that has left; from the third case on it is a break.
+func (o *Oracle) checkGone(r *record, a *model.Attempt) {
+	if late := a.First - r.end - o.loop.Stalled(r.end, o.loop.Now()); r.left && late > goneWithin {
+		if o.gone++; o.gone > goneChance {
+			o.violated(Gone, r, "sent on %v after its sender had left, the %dth of its kind", late, o.gone)
+		}
+	}
 }
 
 // Stray notes something that arrived at a server and that no client sent.
--- a/internal/lab/wrong_test.go
+++ b/internal/lab/wrong_test.go
@@ -203,6 +203,8 @@
 		for range 7 {
 			send(path, id)
 		}
+	case s.mode == "late":
+		time.Sleep(300 * time.Millisecond) // and does not look whether anybody still waits
 	case s.mode == "beside" && class == "read":
 		go send(path, id)
 	case s.mode == "promise" && class == "pay":
