--- a/cmd/cranegrade/main_test.go
+++ b/cmd/cranegrade/main_test.go
@@ -59,20 +59,74 @@
 	return cmd
 }
 
+// configFor writes the configuration of a node with one server, and gives its text too.
+func configFor(t *testing.T, server *httptest.Server, discovery, mode string) (path, text string) {
+	t.Helper()
+	path = filepath.Join(t.TempDir(), "config.json")
+	text = fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1f","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+		"known":{"rev":1,"all":true,"targets":[{"uid":"s","endpoint":%q,"az":"a","state":"SERVING"}]},
+		"settings":{"lanes":[{"name":"read","effect":"read_like","target-ms":1000,"deadline-ms":2000}],"limits":{"max-attempts":3},"registry-mode":%q}}`,
+		discovery, strings.TrimPrefix(server.URL, "http://"), mode)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path, text
+}
+
+// Signals that come amid each other: told to end twice, with a new configuration between, the program answers what it
+// has in hand and exits with 0; so it does when it is told before it is ready.
+func TestProgramSignalsCross(t *testing.T) {
+	came, hold := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(came)
+		<-hold
+		io.WriteString(w, "late")
+	}))
+	defer server.Close()
+	silent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	defer silent.Close()
+	defer silent.CloseClientConnections()
+	for name, signals := range map[string][]syscall.Signal{
+		"before it is ready": {syscall.SIGTERM}, "amid a request": {syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP},
+	} {
+		config, _ := configFor(t, server, strings.TrimPrefix(silent.URL, "http://"), "pushed")
+		p := begin(t, config)
+		got := make(chan string, 1)
+		if len(signals) > 1 {
+			go func() { got <- p.get("/read/1") }()
+			<-came
+		} else {
+			got <- "200 late"
+		}
+		for _, s := range signals {
+			if err := p.cmd.Process.Signal(s); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if len(signals) > 1 {
+			eventually(t, "both files in the log", func() bool { return strings.Count(p.log(), "reloaded: ") >= 1 })
+			close(hold)
+		}
+		ended := make(chan error, 1)
+		go func() { ended <- p.cmd.Wait() }()
+		select {
+		case err := <-ended:
+			if answer := <-got; err != nil || answer != "200 late" {
+				t.Errorf("%s: %v, answer %q", name, err, answer)
+			}
+		case <-time.After(limit):
+			t.Errorf("%s: still running", name)
+		}
+	}
+}
+
 // The whole program: it gets ready, serves a request, and ends with 0 on SIGTERM.
 func TestProgram(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		io.WriteString(w, r.Header.Get("X-Correlation-Id"))
 	}))
 	defer server.Close()
-	config := filepath.Join(t.TempDir(), "config.json")
-	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f","limits":{"cores":1,"memory_mb":192,"sockets":1024},
-		"known":{"rev":1,"all":true,"targets":[{"uid":"s","endpoint":%q,"az":"a","state":"SERVING"}]},
-		"settings":{"lanes":[{"name":"read","effect":"read_like","target-ms":1000,"deadline-ms":2000}],"limits":{"max-attempts":3},"registry-mode":"on_request"}}`,
-		strings.TrimPrefix(server.URL, "http://"))
-	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	config, text := configFor(t, server, "127.0.0.1:1", "on_request")
 	p := begin(t, config)
 	if got := p.get("/health/ready"); got != "200 " {
 		t.Errorf("ready: %q", got)
--- a/internal/node/callerconn.go
+++ b/internal/node/callerconn.go
@@ -24,7 +24,7 @@
 	aheadMost = 4 << 10
 	// partTime is how long a closed connection goes on reading, into nothing, so that no reset takes along what the
 	// caller has not read yet, and partMost how much of it, in bytes.
-	partTime = 500 * time.Millisecond
+	partTime = 400 * time.Millisecond
 	partMost = 1 << 20
 )
 
