Trust in idle connections follows its setting at SIGHUP

Observed by test: with conn-idle raised at a reload trust stayed at the old setting's share (upstream.retune took the lesser of the two), so requests that must not run twice went out on new connections until trust had crept up by 2% a use. Trust that no server has shaken is the new setting's now; shaken trust stays. Also a test that a reset is no end of an answer, wherever it strikes, with the bytes before it read first; that held before.

--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -8,11 +8,13 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"hollyspur"
+	"hollyspur/internal/wire"
 )
 
 // What has to hold at the instant in which something ends: docs/endings.md. Each test holds one side and lets go in a
@@ -387,6 +389,64 @@
 	}
 }
 
+// A reset is no end of an answer, whether or not its length was told, and wherever it strikes.
+func TestResetIsNoEnd(t *testing.T) {
+	t.Parallel()
+	for _, said := range []string{"", "HTTP/1.1 2", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nall of",
+		"HTTP/1.0 200 OK\r\n\r\nall of", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall of",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nall of\r\n"} {
+		read := make(chan struct{})
+		addr := listen(t, func(c net.Conn, r *bufio.Reader) {
+			if req, err := http.ReadRequest(r); err == nil {
+				io.Copy(io.Discard, req.Body)
+				io.WriteString(c, said)
+				if said != "" {
+					<-read // a reset may overtake what nobody has read
+				}
+				c.(*net.TCPConn).SetLinger(0)
+			}
+		})
+		u := newTestUpstream(10)
+		connect := u.connect
+		u.connect = func(ctx context.Context, addr string, within time.Duration) (net.Conn, error) {
+			c, err := connect(ctx, addr, within)
+			return readTeller{c, sync.OnceFunc(func() { close(read) })}, err
+		}
+		if res := try(t, u, newServer(addr)); res.ending != hollyspur.Broken {
+			t.Errorf("after %q: ending %d", said, res.ending)
+		}
+	}
+}
+
+// readTeller tells when its first bytes are read.
+type readTeller struct {
+	net.Conn
+	told func()
+}
+
+func (c readTeller) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.told()
+	}
+	return n, err
+}
+
+// Trust in idle connections follows a setting that is raised, unless a server has shaken it.
+func TestTrustFollowsItsSetting(t *testing.T) {
+	t.Parallel()
+	for _, shaken := range []bool{false, true} {
+		u := newTestUpstream(10)
+		if shaken {
+			u.distrust(4 * time.Second)
+		}
+		u.retune(wire.Connections{Idle: time.Hour, ConnectWithin: time.Second})
+		if u.distrustful() != shaken {
+			t.Errorf("shaken %v: trusted for %v of %v", shaken, u.trusted, u.idleFor)
+		}
+	}
+}
+
 // A connection that comes up only when a keyed request's window is over carries no repeat of it.
 func TestKeyedPastItsWindow(t *testing.T) {
 	t.Parallel()
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -118,10 +118,13 @@
 // that, for a request that crosses the close is lost to a reset.
 func usable(idle time.Duration) time.Duration { return idle * 3 / 4 }
 
-// retune takes over new settings of connections.
+// retune takes over new settings of connections. Trust that no server has shaken follows the setting.
 func (u *upstream) retune(set wire.Connections) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.trusted == u.idleFor {
+		u.trusted = usable(set.Idle)
+	}
 	u.idleFor, u.connectTimeout = usable(set.Idle), set.ConnectWithin
 	u.trusted = min(u.trusted, u.idleFor)
 }
