--- a/cmd/cranegrade/main_test.go
+++ b/cmd/cranegrade/main_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -11,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -46,14 +48,14 @@
 	os.Exit(code)
 }
 
-// command starts the program.
-func command(t *testing.T, config string) *exec.Cmd {
+// command starts the program, after the shell commands of first.
+func command(t *testing.T, config string, first ...string) *exec.Cmd {
 	t.Helper()
 	run, err := program()
 	if err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command("/bin/sh", "-c", run)
+	cmd := exec.Command("/bin/sh", "-c", strings.Join(first, "")+run)
 	cmd.Dir = "../.."
 	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+config)
 	return cmd
@@ -120,6 +122,43 @@
 	}
 }
 
+// Callers that rest on as many connections as they like, under the limit of descriptors that the configuration tells and
+// with discovery silent: the questions to discovery, a call to the server, the second address and a true request still
+// find theirs.
+func TestProgramDescriptorsRunShort(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "served") }))
+	defer server.Close()
+	var asked atomic.Int64
+	silent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked.Add(1)
+		<-r.Context().Done()
+	}))
+	defer silent.Close()
+	defer silent.CloseClientConnections()
+	config, text := configFor(t, server, strings.TrimPrefix(silent.URL, "http://"), "pushed")
+	text = strings.Replace(text, `"sockets":1024`, `"sockets":96`, 1)
+	text = strings.Replace(text, `"seed"`, `"control":"127.0.0.1:0","seed"`, 1)
+	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := begin(t, config, "ulimit -n 96; ")
+	for range 150 {
+		c, err := net.Dial("tcp", p.listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	before := asked.Load()
+	if got := p.get("/read/1"); got != "200 served" {
+		t.Errorf("a true request: %q", got)
+	}
+	eventually(t, "more questions to discovery", func() bool { return asked.Load() > before+10 })
+	if strings.Contains(p.log(), "too many open files") {
+		t.Errorf("descriptors ran out: %s", p.log())
+	}
+}
+
 // The whole program: it gets ready, serves a request, and ends with 0 on SIGTERM.
 func TestProgram(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/cmd/cranegrade/state_test.go
+++ b/cmd/cranegrade/state_test.go
@@ -27,10 +27,10 @@
 	lines []string
 }
 
-// begin starts the program and waits until it listens.
-func begin(t *testing.T, config string) *process {
+// begin starts the program, after shell commands if there are any, and waits until it listens.
+func begin(t *testing.T, config string, first ...string) *process {
 	t.Helper()
-	p := &process{cmd: command(t, config)}
+	p := &process{cmd: command(t, config, first...)}
 	stderr, err := p.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
