A cold server's budget counts what there was of the span, from the start on

Lines at fault: affordable divided the decayed count of calls by WarmAfter though a node had seen less of it, so in the first seconds of a process its part came out up to several times too small (by 1 - e^(-t/WarmAfter)), and few nodes shed what servers could bear.

Now the time seen decays like the calls do, and divides them, FallFor at the least.

--- a/policy.go
+++ b/policy.go
@@ -825,12 +825,17 @@
 	return w == 1 || (s.calls == 0 && b.rng.Float64() < w)
 }
 
-// keepPace notes a call: how many this copy makes, and how many of them a server gets, within WarmAfter.
-// What cold servers are spared while warm ones are scarce says nothing of what a server bears.
+// keepPace notes a call: how many this copy makes, and how many of them a server gets, within the last span
+// of about WarmAfter, or what there was of it. What cold servers are spared while warm ones are scarce says
+// nothing of what a server bears.
 func (b *Balancer) keepPace() {
+	if !b.scant && b.sends > 0 {
+		span := float64(max(1, b.set.WarmAfter))
+		kept := math.Exp(-float64(b.now-b.pacedAt) / span)
+		b.sends, b.pace, b.span = b.sends*kept, b.pace*kept, b.span*kept+span*(1-kept)
+	}
 	if !b.scant {
-		kept := math.Exp(-float64(b.now-b.pacedAt) / float64(max(1, b.set.WarmAfter)))
-		b.sends, b.pace = b.sends*kept+1, b.pace*kept+1/float64(max(1, len(b.ready)))
+		b.sends, b.pace = b.sends+1, b.pace+1/float64(max(1, len(b.ready)))
 	}
 	b.pacedAt = b.now
 }
@@ -858,7 +863,7 @@
 // under N, however many the copies are and whichever of them have the requests.
 func (b *Balancer) affordable(s *server, c *class) bool {
 	if b.now >= s.drawn {
-		capacity := max(b.pace/float64(max(1, b.set.WarmAfter)), // in calls an ns
+		capacity := max(b.pace/max(b.span, float64(b.set.FallFor)), // in calls an ns
 			1/(max(1, c.mean)*float64(max(1, b.set.Balancers))))
 		part := float64(len(b.subset)) / float64(len(b.ready))
 		n := b.set.FallMultiple * b.warmth(s) * capacity / part * float64(b.set.FallFor)
--- a/state.go
+++ b/state.go
@@ -34,8 +34,9 @@
 	calm      float64       // the same over four times as many answers
 	bare      float64       // least calm seen, forgetting slowly
 	debtAt    time.Duration // when that was reckoned
-	sends     float64       // own calls within WarmAfter, decaying
+	sends     float64       // own calls within about WarmAfter, decaying
 	pace      float64       // the same for each server
+	span      float64       // the same of time, in ns
 	pacedAt   time.Duration // when they were reckoned
 	scant     bool          // warm servers were too few at the last pick; see scarce
 	inFlight  int
