--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -326,22 +326,21 @@
 // A reload amid a silent watch: whatever the new address's watches do, its list is here soon.
 func TestReloadAmidSilence(t *testing.T) {
 	t.Parallel()
-	agent := func(list string) (string, chan struct{}) {
-		open := make(chan struct{}, 100)
+	agent := func(first, list string) string { // what its watches say before they fall silent, and its whole list
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if asksWhole(r) && list != "" {
 				fmt.Fprint(w, list)
 				return
 			}
+			fmt.Fprint(w, first)
 			w.(http.Flusher).Flush()
-			open <- struct{}{}
 			<-r.Context().Done()
 		}))
 		t.Cleanup(s.CloseClientConnections)
-		return strings.TrimPrefix(s.URL, "http://"), open
+		return strings.TrimPrefix(s.URL, "http://")
 	}
-	before, open := agent("")
-	after, _ := agent(message(9, true, entry("a", "DRAINING")))
+	before := agent(message(8, true, entry("a", "SERVING"))+"\n", "")
+	after := agent("", message(9, true, entry("a", "DRAINING")))
 	cfg := testConfig(before)
 	cfg.Settings.AskDiscovery = false
 	news := make(chan struct{}, 10)
@@ -351,14 +350,14 @@
 		}
 		return nil
 	}))
-	wait(t, open)
+	wait(t, news) // it is proven for a while
 	cfg.Discovery = after
 	reloaded := time.Now()
 	if err := n.Reload(cfg); err != nil {
 		t.Fatal(err)
 	}
 	wait(t, news)
-	if took := time.Since(reloaded); took > 4*time.Second {
+	if took := time.Since(reloaded); took >= silence {
 		t.Errorf("news %v after the reload", took)
 	}
 }
