The second address answers once the first list is in

Lines at fault: Run lets the second address serve before the loop has taken the list that it posts a moment later. Now it begins after that; calls wait in its backlog meanwhile. 15 runs of the test and 4 of the package passed.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -179,9 +179,13 @@
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	go n.loop.run(running)
+	listed := make(chan struct{})
 	if n.control != nil {
 		defer n.control.close()
-		go n.control.serve()
+		go func() {
+			<-listed // else the first figures would tell of no server
+			n.control.serve()
+		}()
 	}
 	var recalled hollyspur.Recalled
 	known := false
@@ -194,6 +198,7 @@
 			n.loop.handle(recalled)
 		}
 		n.loop.takeList(n.known, true)
+		close(listed)
 		if n.loop.pushed {
 			n.loop.subscribe()
 		}
