New settings are taken over in the order of the classes, to the last bit

Lines at fault: retune summed over a map, whose order differs from run to run, and sums of floats depend on it; the module promises the same actions for the same events. Now it goes by the order of the settings. TestRetunedAlike, 100 times alike, fails without the change (three fills) and passes with it.

--- a/scale_test.go
+++ b/scale_test.go
@@ -246,3 +246,29 @@
 		t.Errorf("a first try counts as a repeat, its client's first at %v", r.arrived)
 	}
 }
+
+// The same events give the same figures to the last bit, however many classes change at once.
+func TestRetunedAlike(t *testing.T) {
+	set := deployments()["seven classes"]
+	next := set.scaled(3)
+	for i := range next.Classes {
+		next.Classes[i].Aim /= time.Duration(i + 1)
+	}
+	fills := map[float64]bool{}
+	for range 100 {
+		b, err := New(set, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+		for i := range 50 {
+			c := set.Classes[i%len(set.Classes)]
+			b.Handle(time.Duration(i)*msec, Request{ID: fmt.Sprint(i), Class: c.Name, Deadline: c.Deadline})
+		}
+		b.Handle(time.Second, Retuned{Settings: next})
+		fills[b.fill] = true
+	}
+	if len(fills) != 1 {
+		t.Errorf("the same events gave the fills %v", fills)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -88,9 +88,9 @@
 	learned := b.classes
 	b.set, b.classes, b.order = set, map[string]*class{}, nil
 	b.addClasses()
-	var calls, parts float64 // of what came lately, and how much longer it is in parts of its aim
-	for name, k := range b.classes {
-		if was := learned[name]; was != nil {
+	var calls, parts float64    // of what came lately, and how much longer it is in parts of its aim
+	for _, k := range b.order { // in this order, as sums of floats depend on it
+		if was := learned[k.Name]; was != nil {
 			c := k.Class
 			*k = *was
 			k.Class = c
