--- a/cmd/cranegrade/main_test.go
+++ b/cmd/cranegrade/main_test.go
@@ -106,7 +106,7 @@
 			}
 		}
 		if len(signals) > 1 {
-			eventually(t, "both files in the log", func() bool { return strings.Count(p.log(), "reloaded: ") >= 1 })
+			eventually(t, "a new configuration in the log", func() bool { return strings.Contains(p.log(), "reloaded: ") })
 			close(hold)
 		}
 		ended := make(chan error, 1)
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -306,16 +306,12 @@
 			if l := wait(t, lists); l.Servers[0].State != hollyspur.Draining {
 				t.Fatalf("first %+v", l)
 			}
-			before := make(chan time.Duration, 1)
-			n.loop.post(func() { before <- n.loop.proven })
-			start := wait(t, before)
+			start := onLoop(t, n, func() time.Duration { return n.loop.proven })
 			close(gate)
 			// The older list has been dealt with once no question is out, or once its watch has proven something.
-			for over := false; !over; {
-				seen := make(chan bool, 1)
-				n.loop.post(func() { seen <- late && n.loop.asking == 0 || !late && n.loop.proven > start })
-				over = wait(t, seen)
-			}
+			eventually(t, "the older list", func() bool {
+				return onLoop(t, n, func() bool { return late && n.loop.asking == 0 || !late && n.loop.proven > start })
+			})
 			if len(lists) > 0 {
 				t.Errorf("then %+v", <-lists)
 			}
--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -20,21 +20,33 @@
 // What has to hold at the instant in which something ends: docs/endings.md. Each test holds one side and lets go in a
 // stated order.
 
-// until asks the loop again and again until f says yes there.
-func until(t *testing.T, n *Node, f func() bool) {
+// eventually asks again and again until ok says yes.
+func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
-	for end := time.Now().Add(limit); ; {
-		seen := make(chan bool, 1)
-		n.loop.post(func() { seen <- f() })
-		if wait(t, seen) {
-			return
-		}
+	for end := time.Now().Add(limit); !ok(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatal("it never comes to be")
+			t.Fatalf("%s: not within %v", what, limit)
 		}
 	}
 }
 
+// onLoop is what f says on the node's loop.
+func onLoop[T any](t *testing.T, n *Node, f func() T) T {
+	t.Helper()
+	said := make(chan T, 1)
+	n.loop.post(func() { said <- f() })
+	return wait(t, said)
+}
+
+// holdLoop keeps the node's loop busy until release is called.
+func holdLoop(t *testing.T, n *Node) (release func()) {
+	t.Helper()
+	held, busy := make(chan struct{}), make(chan struct{})
+	n.loop.post(func() { close(busy); <-held })
+	wait(t, busy)
+	return func() { close(held) }
+}
+
 // gatedDials makes the node's connections come up only once gate is closed; each tells began first.
 func gatedDials(n *Node, began, gate chan struct{}) {
 	dial := n.loop.upstream.connect
@@ -55,20 +67,6 @@
 	return n
 }
 
-// runNode runs a node until the test ends.
-func runNode(t *testing.T, n *Node) {
-	t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- n.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		if err := wait(t, done); err != nil {
-			t.Errorf("Run: %v", err)
-		}
-	})
-}
-
 // A caller that goes behind bytes that it sent ahead of its answer is seen to go, though net/http reads one of those
 // bytes and looks no more.
 func TestGoneBehindBytesAhead(t *testing.T) {
@@ -116,9 +114,7 @@
 	conn := dial(t, n.Addr().String())
 	next := head("GET", "/read/2", "")
 	io.WriteString(conn, head("GET", "/read/1", ""))
-	for len(taken) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	eventually(t, "the first request", func() bool { return len(taken) > 0 })
 	for i := range len(next) - 1 { // all but the last byte, one by one
 		io.WriteString(conn, next[i:i+1])
 	}
@@ -148,24 +144,16 @@
 	conn := dial(t, n.Addr().String())
 	io.WriteString(conn, head("GET", "/read/1", ""))
 	wait(t, began)
-	held, busy := make(chan struct{}), make(chan struct{})
-	n.loop.post(func() { close(busy); <-held })
-	wait(t, busy)
+	release := holdLoop(t, n)
 	conn.Close()
-	for end := time.Now().Add(limit); n.front.conns.Load() > 0; time.Sleep(time.Millisecond) { // its handler has ended
-		if time.Now().After(end) {
-			t.Fatal("the caller is not seen to go")
-		}
-	}
+	eventually(t, "its handler has ended", func() bool { return n.front.conns.Load() == 0 })
 	close(gate)
-	// The attempt ends as one that wrote nothing: its connection is idle.
-	for end := time.Now().Add(limit); ; time.Sleep(time.Millisecond) {
-		if _, idle := n.loop.upstream.counts(); idle == 1 || len(got) > 0 || time.Now().After(end) {
-			break
-		}
-	}
-	close(held)
-	until(t, n, func() bool { return len(n.loop.requests) == 0 })
+	eventually(t, "the attempt has ended, its connection idle if it wrote nothing", func() bool {
+		_, idle := n.loop.upstream.counts()
+		return idle == 1 || len(got) > 0
+	})
+	release()
+	eventually(t, "it is forgotten", func() bool { return onLoop(t, n, func() bool { return len(n.loop.requests) == 0 }) })
 	if len(got) > 0 {
 		t.Error("it was sent on")
 	}
@@ -178,9 +166,7 @@
 	cfg := testConfig("127.0.0.1:1", serving("s", addr))
 	cfg.Sockets = 4096
 	n := startNode(t, cfg, nil)
-	held, busy := make(chan struct{}), make(chan struct{})
-	n.loop.post(func() { close(busy); <-held })
-	wait(t, busy)
+	release := holdLoop(t, n)
 	const crowd = 300
 	var conns []net.Conn
 	for range crowd {
@@ -188,21 +174,15 @@
 		io.WriteString(conn, head("GET", "/read/1", ""))
 		conns = append(conns, conn)
 	}
-	for end := time.Now().Add(limit); len(n.loop.events) < crowd; time.Sleep(time.Millisecond) { // all wait for the loop
-		if time.Now().After(end) {
-			t.Fatalf("%d of %d requests are in", len(n.loop.events), crowd)
-		}
-	}
+	eventually(t, "all wait for the loop", func() bool { return len(n.loop.events) >= crowd })
 	for _, c := range conns {
 		c.Close()
 	}
-	for end := time.Now().Add(limit); n.front.conns.Load() > 0; time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("not all are seen to go")
-		}
-	}
-	close(held)
-	until(t, n, func() bool { return len(n.loop.requests) == 0 && len(n.loop.events) == 0 })
+	eventually(t, "all are seen to go", func() bool { return n.front.conns.Load() == 0 })
+	release()
+	eventually(t, "all are forgotten", func() bool {
+		return onLoop(t, n, func() bool { return len(n.loop.requests) == 0 && len(n.loop.events) == 0 })
+	})
 	if len(got) > 0 {
 		t.Errorf("%d of %d were sent on", len(got), crowd)
 	}
@@ -221,11 +201,7 @@
 			t.Errorf("%s: gone before", name)
 		}
 		leave(theirs)
-		for end := time.Now().Add(limit); !c.left(); time.Sleep(time.Millisecond) {
-			if time.Now().After(end) {
-				t.Fatalf("%s: never gone", name)
-			}
-		}
+		eventually(t, name, c.left)
 	}
 }
 
@@ -351,9 +327,7 @@
 	n.front.crowded.Store(1000)
 	working := dial(t, n.Addr().String())
 	io.WriteString(working, head("GET", "/read/1", ""))
-	for !first.Load() {
-		time.Sleep(time.Millisecond)
-	}
+	eventually(t, "one at work", first.Load)
 	for range n.listener.limit - 1 {
 		conn := dial(t, n.Addr().String())
 		io.WriteString(conn, head("GET", "/read/1", ""))
@@ -363,23 +337,18 @@
 	}
 	late := dial(t, n.Addr().String())
 	io.WriteString(late, head("GET", "/read/1", ""))
-	for end := time.Now().Add(limit); ; time.Sleep(time.Millisecond) { // they all rest, and have for long
+	eventually(t, "all others rest, and have for long", func() bool {
 		c := &n.front.callers
 		c.mu.Lock()
-		resting := len(c.idle)
-		if resting == n.listener.limit-1 {
-			for conn := range c.idle {
-				c.idle[conn] = time.Now().Add(-mayGo)
-			}
-		}
-		c.mu.Unlock()
-		if resting == n.listener.limit-1 {
-			break
+		defer c.mu.Unlock()
+		if len(c.idle) < n.listener.limit-1 {
+			return false
 		}
-		if time.Now().After(end) {
-			t.Fatalf("%d rest", resting)
+		for conn := range c.idle {
+			c.idle[conn] = time.Now().Add(-mayGo)
 		}
-	}
+		return true
+	})
 	if resp, err := http.ReadResponse(bufio.NewReader(late), nil); err != nil || resp.StatusCode != 200 {
 		t.Errorf("%+v, %v", resp, err)
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -56,6 +56,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	runNode(t, n)
+	return n
+}
+
+// runNode runs a node until the test ends.
+func runNode(t *testing.T, n *Node) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- n.Run(ctx) }()
@@ -65,7 +72,6 @@
 			t.Errorf("Run: %v", err)
 		}
 	})
-	return n
 }
 
 func wait[T any](t *testing.T, c <-chan T) T {
