A caller that goes behind the unread rest of a long body is seen to go

Each of the five requests that was traced in the node's log had a body of over 64 KiB (`rest`), began an attempt 0.2 to 0.5 s after its caller had gone, and was found gone within 1 ms of the first read of its body's rest. Checked: at that first byte the caller's socket stood in CLOSE_WAIT with 11 to 34 KB unread; poll told POLLRDHUP, and a peek told bytes. Ruled out: requests that are queued, dialling or between attempts with their body held (none of the traced ones), a busy loop (0.5 to 3 ms from the decision to the first byte in three of them). At fault: limitedConn.left, which peeked one byte, so any unread byte hid the close; ServeHTTP, which leaves a long body's caller to whoever reads the body, and between attempts nobody does. Now the socket is asked for the peer's end of sending, whatever stands unread before it, and whoever finds that ends the request. Test: TestGoneBehindALongBody, which fails without the change; 20 times under -race passed.

--- a/internal/node/callerconn.go
+++ b/internal/node/callerconn.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // What a caller's connection is at, between its requests.
@@ -177,14 +179,25 @@
 	}
 }
 
-// left says that the caller has closed its connection, as far as the system knows and no bytes stand before it.
+// left says that the caller has ended its sending or the connection, as far as the system knows, whatever stands unread
+// before that: the rest of a body that nobody reads yet, say.
 func (c *limitedConn) left() bool {
-	switch n, err := peek(c.Conn); {
-	case err == nil:
-		return n == 0
-	default:
-		return err != syscall.EAGAIN && err != syscall.EINTR && !errors.Is(err, errors.ErrUnsupported)
+	sc, is := c.Conn.(syscall.Conn)
+	if !is {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	poll := []unix.PollFd{{Events: unix.POLLRDHUP}} // what has failed or hung up is told unasked
+	if raw.Control(func(fd uintptr) {
+		poll[0].Fd = int32(fd)
+		_, err = unix.Poll(poll, 0)
+	}) != nil {
+		return true
 	}
+	return err == nil && poll[0].Revents != 0
 }
 
 // CloseWrite ends sending alone, which lets a peer that still writes read its answer.
--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -159,6 +160,68 @@
 	}
 }
 
+// A caller that goes behind the rest of its long body, which nobody reads between attempts, has gone: no attempt begins,
+// first or further, though its bytes stand unread before its close.
+func TestGoneBehindALongBody(t *testing.T) {
+	t.Parallel()
+	for name, leave := range map[string]func(*net.TCPConn){
+		"closes": func(c *net.TCPConn) { c.Close() }, "half-closes": func(c *net.TCPConn) { c.CloseWrite() },
+		"resets": func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+	} {
+		for first := range 2 { // the attempt that is to begin
+			heard := make(chan struct{}, 4)
+			addr := listen(t, func(_ net.Conn, r *bufio.Reader) {
+				if _, err := r.ReadByte(); err == nil {
+					heard <- struct{}{}
+				}
+			})
+			n := newNodeFor(t, testConfig("127.0.0.1:1", serving("away", "127.0.0.1:1"), serving("s", addr)))
+			outcomes := make(chan hollyspur.Outcome, 4)
+			n.loop.module = moduleFunc(func(e hollyspur.Event) []hollyspur.Action {
+				switch e := e.(type) {
+				case hollyspur.Request:
+					return []hollyspur.Action{hollyspur.Send{ID: e.ID, Server: []string{"s", "away"}[first]}}
+				case hollyspur.Outcome:
+					if outcomes <- e; e.Attempt < first && !e.Spent {
+						return []hollyspur.Action{hollyspur.Send{ID: e.ID, Server: "s"}}
+					}
+				}
+				return nil
+			})
+			began, gate := make(chan struct{}), make(chan struct{})
+			dial := n.loop.upstream.connect
+			n.loop.upstream.connect = func(ctx context.Context, to string, within time.Duration) (net.Conn, error) {
+				if to != addr {
+					return nil, errNoRoom // so the attempt before never ran
+				}
+				close(began)
+				<-gate
+				return dial(ctx, to, within)
+			}
+			runNode(t, n)
+			conn, err := net.Dial("tcp", n.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			const length = maxBody + 20_000
+			io.WriteString(conn, head("POST", "/order/1", "Content-Length: "+strconv.Itoa(length)+"\r\n")+text(length))
+			wait(t, began)
+			leave(conn.(*net.TCPConn))
+			close(gate)
+			for range first + 1 {
+				wait(t, outcomes)
+			}
+			if len(heard) > 0 {
+				t.Errorf("%s: attempt %d was begun", name, first)
+			}
+			eventually(t, name+": its place is free and it is forgotten", func() bool {
+				return n.front.conns.Load() == 0 && onLoop(t, n, func() bool { return len(n.loop.requests) == 0 })
+			})
+			conn.Close()
+		}
+	}
+}
+
 // Callers that leave all at once, before the loop has come to any of them: not one of their requests is sent on.
 func TestCrowdLeaves(t *testing.T) {
 	t.Parallel()
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -13,6 +13,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -97,10 +98,16 @@
 	}
 	defer release()
 	left := make(chan struct{})
-	if r.rest == nil { // else its body's reading shows it
-		defer callerOf(hr).watch(func() { r.departed.Store(true); close(left) })()
+	leave := sync.OnceFunc(func() { r.departed.Store(true); close(left) })
+	if r.rest == nil { // else its body's reading shows it, and while nobody reads, the next look at here
+		defer callerOf(hr).watch(leave)()
+	}
+	r.here = func() bool {
+		if callerOf(hr).left() {
+			leave()
+		}
+		return !r.departed.Load() && hr.Context().Err() == nil
 	}
-	r.here = func() bool { return !r.departed.Load() && hr.Context().Err() == nil && !callerOf(hr).left() }
 	f.loop.post(func() { f.loop.accept(r) })
 	var broken chan struct{} // never closed for a request that is all here
 	if r.rest != nil {
