One last look before an attempt's first byte; the time left is told as it is then

Checked: the head's X-Time-Left was worded where the attempt was decided (loop.send), before the wait for a connection that comes up up to 1.5 s late. Ruled out: the reckoning of the deadline itself, which is 20 ms before the caller's. Now clearance holds all that has to hold at the first byte, and lastLook asks it in one place for every attempt: not withdrawn, its caller there and unanswered, the repeat's window, its time, the server not draining, a long body not begun elsewhere; and words the time left there.

--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -520,3 +520,37 @@
 		t.Errorf("outcomes %+v, %+v, %d sent on", a, b, len(got))
 	}
 }
+
+// The time that an attempt tells its server is what is left when its head is written, not when it was decided: what a
+// connection took to come up is gone, for the first attempt and for further ones.
+func TestTimeToldAtTheFirstByte(t *testing.T) {
+	t.Parallel()
+	const late, given = 100 * time.Millisecond, 10 * time.Second
+	failing, got := stub(t, "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", true)
+	n := newNodeFor(t, testConfig("127.0.0.1:1", serving("s", failing)))
+	n.loop.module = moduleFunc(func(e hollyspur.Event) []hollyspur.Action {
+		switch e := e.(type) {
+		case hollyspur.Request:
+			return []hollyspur.Action{hollyspur.Send{ID: e.ID, Server: "s"}}
+		case hollyspur.Outcome:
+			if e.Attempt == 0 {
+				return []hollyspur.Action{hollyspur.Send{ID: e.ID, Server: "s"}}
+			}
+			return []hollyspur.Action{hollyspur.Fail{ID: e.ID}}
+		}
+		return nil
+	})
+	connect := n.loop.upstream.connect
+	n.loop.upstream.connect = func(ctx context.Context, addr string, within time.Duration) (net.Conn, error) {
+		<-time.After(late) // a fact of time, nothing is waited for
+		return connect(ctx, addr, within)
+	}
+	runNode(t, n)
+	do(t, newRequest(t, n, "GET", "/read/1", "")) // which gives 10 s
+	for i := range 2 {
+		told, err := parseTimeLeft(wait(t, got).Header.Get("X-Time-Left"))
+		if most := given - time.Duration(i+1)*late; err != nil || told > most {
+			t.Errorf("attempt %d tells %v, at most %v are left, %v", i, told, most, err)
+		}
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -326,13 +326,14 @@
 		l.queue = append(l.queue, l.end(at, result{ending: hollyspur.Void}))
 		return
 	}
-	by := r.sendBy()
 	out := call{request: r.forward.Clone(ctx), rest: r.rest,
-		begin:   func() bool { return !r.finished.Load() && r.here() && (by == 0 || l.clock.now() < by) },
+		clear: clearance{clock: l.clock, wanted: func() bool { return !r.finished.Load() && r.here() },
+			until: now + timeout, window: r.sendBy()},
 		started: func(d *download) { l.post(func() { l.started(at, d) }) }}
 	if r.rest != nil {
 		// Its time begins with its last byte. How slow that may be is the caller's body's to say.
-		timeout = r.left
+		out.clear.until = 0
+		out.request.Header.Set("X-Time-Left", timeLeft(r.left))
 		out.request.Body = io.NopCloser(io.MultiReader(bytes.NewReader(r.body), r.rest))
 		out.taken = func() { l.post(func() { l.taken(at) }) }
 		r.lastCall.Stop()
@@ -342,7 +343,6 @@
 			out.request.Body = io.NopCloser(bytes.NewReader(r.body))
 		}
 	}
-	out.request.Header.Set("X-Time-Left", timeLeft(timeout))
 	go func() {
 		res := l.upstream.attempt(ctx, s, out)
 		l.post(func() { l.handle(l.end(at, res)) })
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -53,7 +53,7 @@
 type call struct {
 	request *http.Request   // with its body, as far as that is held
 	rest    *callerBody     // what follows of a long body; nil: nothing
-	begin   func() bool     // asked at the moment of writing; false: write nothing
+	clear   clearance       // what has to hold at the first byte
 	taken   func()          // called when the last byte of a long request is written
 	started func(*download) // called when a long answer begins; whoever reads it says on its done how that went
 }
@@ -129,8 +129,8 @@
 	u.trusted = min(u.trusted, u.idleFor)
 }
 
-// attempt makes a call to s once and waits for the answer until ctx ends. It writes nothing unless
-// begin agrees at the moment of writing.
+// attempt makes a call to s once and waits for the answer until ctx ends. It writes nothing unless clear agrees at the
+// first byte.
 func (u *upstream) attempt(ctx context.Context, s *server, out call) result {
 	r := out.request
 	if r.Host == "" { // HTTP/1.0 callers need not name one, servers want one
@@ -142,24 +142,14 @@
 		connect = u.dial
 	}
 	c, err := connect(ctx, s)
-	if ctx.Err() != nil || err == nil && !out.begin() {
-		// The dial took the attempt's time or its reason away.
-		if err == nil {
-			u.put(s, c)
-		}
-		return result{ending: hollyspur.Void}
-	}
-	if err != nil {
-		return result{ending: hollyspur.Unreachable}
-	}
-	if !s.usable.Load() {
-		// The list named it draining or gone while the connection came up.
-		u.close(c)
+	if err != nil && ctx.Err() == nil {
 		return result{ending: hollyspur.Unreachable}
+	} else if err != nil {
+		return result{ending: hollyspur.Void} // the dial took the attempt's time or its reason away
 	}
-	if out.rest != nil && !out.rest.spent.CompareAndSwap(false, true) {
-		u.put(s, c) // not a byte of it is written: the caller's last byte could never follow
-		return result{ending: hollyspur.Void}
+	if why, ok := out.lastLook(ctx, s); !ok {
+		u.put(s, c) // not a byte was written
+		return result{ending: why}
 	}
 	stop := context.AfterFunc(ctx, c.abort) // all that stops an exchange
 	var res result
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -37,13 +37,14 @@
 	return r
 }
 
-func yes() bool { return true }
+// free is the clearance of an attempt of which nothing is asked.
+var free = clearance{wanted: func() bool { return true }}
 
 func try(t *testing.T, u *upstream, s *server) result {
 	t.Helper()
 	ctx, cancel := context.WithTimeoutCause(context.Background(), limit, errTimedOut)
 	defer cancel()
-	return u.attempt(ctx, s, call{request: keyed(t), begin: yes, started: func(d *download) {
+	return u.attempt(ctx, s, call{request: keyed(t), clear: free, started: func(d *download) {
 		go func() {
 			_, err := io.Copy(io.Discard, d)
 			d.done <- err
@@ -277,21 +278,21 @@
 	})
 	u, s := newTestUpstream(10), newServer(addr)
 	ctx := context.Background()
-	if res := u.attempt(ctx, s, call{request: keyed(t), begin: func() bool { return false }}); res.ending != hollyspur.Void {
+	if res := u.attempt(ctx, s, call{request: keyed(t), clear: clearance{wanted: func() bool { return false }}}); res.ending != hollyspur.Void {
 		t.Errorf("request finished: ending %d, want Void", res.ending)
 	}
 	if _, idle := u.counts(); idle != 1 {
 		t.Error("the new connection was not kept for the next attempt")
 	}
 	gone := func() bool { s.usable.Store(false); return true }
-	if res := u.attempt(ctx, s, call{request: keyed(t), begin: gone}); res.ending != hollyspur.Unreachable {
+	if res := u.attempt(ctx, s, call{request: keyed(t), clear: clearance{wanted: gone}}); res.ending != hollyspur.Unreachable {
 		t.Errorf("server gone: ending %d, want Unreachable", res.ending)
 	}
 	wait(t, eof)
 	s.usable.Store(true)
 	ctx, cancel := context.WithCancelCause(ctx)
 	cancel(errWithdrawn)
-	if res := u.attempt(ctx, s, call{request: keyed(t), begin: yes}); res.ending != hollyspur.Void {
+	if res := u.attempt(ctx, s, call{request: keyed(t), clear: free}); res.ending != hollyspur.Void {
 		t.Errorf("cancelled: ending %d, want Void", res.ending)
 	}
 	if n := bytes.Load(); n > 0 {
@@ -319,7 +320,7 @@
 			<-began
 			cancel(cause)
 		}()
-		if res := u.attempt(ctx, s, call{request: keyed(t), begin: yes}); res.ending != want {
+		if res := u.attempt(ctx, s, call{request: keyed(t), clear: free}); res.ending != want {
 			t.Errorf("%v: ending %d, want %d", cause, res.ending, want)
 		}
 		if err := wait(t, ended); !errors.Is(err, syscall.ECONNRESET) {
@@ -432,7 +433,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if res := u.attempt(context.Background(), s, call{request: r, begin: yes}); res.ending != hollyspur.Success {
+		if res := u.attempt(context.Background(), s, call{request: r, clear: free}); res.ending != hollyspur.Success {
 			t.Fatalf("%s ended with %d", method, res.ending)
 		}
 	}
