The dead hold up no version of settings: the book goes by nodes in touch

Change: a node is out of touch from the leader's write that its lease has ended, believed or not, and in touch again only when its present start has reported that it runs what it is told, which is never older than what is in force.

--- a/internal/registry/replica/replica.go
+++ b/internal/registry/replica/replica.go
@@ -403,8 +403,13 @@
 	return h.rev, h.wake, changed, !found
 }
 
-// propose writes without waiting for what comes of it: the next look sees that.
+// propose writes without waiting for what comes of it: the next look sees that. Ends of leases carry the wall clock, for people.
 func (r *Replica) propose(ops []state.Op) {
+	for i := range ops {
+		if k := ops[i].Kind; k == state.Expire || k == state.Suspect {
+			ops[i].WallMS = time.Now().UnixMilli()
+		}
+	}
 	text, err := json.Marshal(command{Ops: ops})
 	if err != nil {
 		r.cfg.Log.Error("a write of the leader's own", "error", err)
--- a/internal/registry/state/agree.go
+++ b/internal/registry/state/agree.go
@@ -329,7 +329,8 @@
 		return
 	}
 	if e.Role == Node {
-		s.book.SetNode(e.UID, e.Zone, e.Token, s.missing[e.UID] != nil)
+		// Nobody has to be dead for the book: a lease that has ended is enough, believed or not.
+		s.book.SetNode(e.UID, e.Zone, e.Token, e.Suspect || s.missing[e.UID] != nil, rollout.Moment{Rev: s.rev, WallMS: s.wall})
 	}
 	u := budget.Unit{ID: e.UID, Start: e.Token, Boot: e.BootMS, Tier: e.Tier, Zone: e.Zone, Region: e.Region, Rack: e.Rack, Capacity: e.Capacity}
 	switch {
@@ -454,6 +455,7 @@
 	}
 	if m.Book != nil {
 		s.book = m.Book.Clone()
+		s.book.Complete()
 	}
 	maps.Copy(s.configs, m.Configs)
 	for _, e := range m.Missing {
--- a/internal/registry/state/agree_test.go
+++ b/internal/registry/state/agree_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"pgregory.net/rapid"
 
 	"hollyspur/internal/agree/budget"
@@ -211,6 +212,113 @@
 	})
 }
 
+// fleet is a State with nodes that have said what they run: n0, n2 in zone a, n1, n3 in zone b, and so on.
+func fleet(t *testing.T, nodes int) *State {
+	t.Helper()
+	s := New()
+	for i := range nodes {
+		e := Entry{UID: fmt.Sprint("n", i), Endpoint: "x:1", State: Serving, Role: Node, Tier: "front", Zone: string("ab"[i%2]), Capacity: 1, BootMS: 1}
+		a, _ := s.Apply(Op{Kind: Register, Entry: &e})
+		if a, _ = s.Apply(Op{Kind: Report, UID: e.UID, Token: a.Token}); a.Fault != "" {
+			t.Fatal(a)
+		}
+	}
+	return s
+}
+
+// A node is out of touch from the write that its lease has ended, believed or not, and back in touch only by its own word after
+// that; the word of a start before, and what it says while it is not heard, count for nothing.
+func TestOutOfTouch(t *testing.T) {
+	s := fleet(t, 4)
+	start := map[string]int64{}
+	for uid, n := range s.Book().Nodes {
+		start[uid] = n.Start
+	}
+	again := *s.Get("n2")
+	later := again
+	later.BootMS = 2
+	report := Op{Kind: Report, UID: "n2", Token: start["n2"]}
+	for _, c := range []struct {
+		what           string
+		op             Op
+		fault          string
+		inTouch, heard bool
+	}{
+		{"a lease that is not believed to have ended", Op{Kind: Suspect, UID: "n2", Token: start["n2"], WallMS: 7000}, "", false, false},
+		{"its word meanwhile", report, "", false, false},
+		{"it is renewed", Op{Kind: Trust, UID: "n2", Token: start["n2"]}, "", false, true},
+		{"its word", report, "", true, true},
+		{"an end that is believed", Op{Kind: Expire, UID: "n2", Token: start["n2"], WallMS: 8000}, "", false, false},
+		{"the same process is back", Op{Kind: Register, Entry: &again}, "", false, true},
+		{"it has caught up", report, "", true, true},
+		{"a fresh start", Op{Kind: Register, Entry: &later}, "", false, true},
+		{"the word of the one before", report, NotYet, false, true},
+	} {
+		a, _ := s.Apply(c.op)
+		n := s.Book().Nodes["n2"]
+		if a.Fault != c.fault || n.InTouch() != c.inTouch || n.Missing == c.heard {
+			t.Errorf("%s: %+v, %+v", c.what, a, n)
+		}
+		if c.op.WallMS > 0 && (n.Since.Rev != s.Rev() || n.Since.WallMS != c.op.WallMS) {
+			t.Errorf("%s: since %+v at revision %d", c.what, n.Since, s.Rev())
+		}
+	}
+	if a, _ := s.Apply(Op{Kind: Report, UID: "n2", Token: s.Get("n2").Token}); a.Fault != "" || !s.Book().Nodes["n2"].InTouch() {
+		t.Errorf("%+v", a)
+	}
+}
+
+// Whatever befell nodes, a State read from its snapshot knows the same of them, and goes on the same.
+func TestSnapshotOfBook(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := fleet(t, 4)
+		op := func(s *State) Op {
+			uid := fmt.Sprint("n", rapid.IntRange(0, 3).Draw(rt, "node"))
+			e := s.Get(uid)
+			if e == nil {
+				e = s.Missing(uid)
+			}
+			again, n, v := *e, s.Book().Nodes[uid], s.Book().Pending
+			again.BootMS++
+			ops := []Op{{Kind: Register, Entry: e}, {Kind: Register, Entry: &again}, {Kind: Expire, UID: uid, Token: e.Token, WallMS: 5}, {Kind: Expire, UID: uid, Token: e.Token},
+				{Kind: Suspect, UID: uid}, {Kind: Trust, UID: uid}, {Kind: Report, UID: uid, Token: e.Token, Number: n.Told, Hash: s.Book().Hashes[n.Told]},
+				{Kind: Propose, Value: json.RawMessage(fmt.Sprint(s.Book().Highest)), Replaces: s.Book().Committed.Number, Stages: []float64{0.4, 1}}, {Kind: GoBack}}
+			if v != nil {
+				ops = append(ops, Op{Kind: Ack, UID: uid, Token: e.Token, Number: v.Number, Hash: v.Hash}, Op{Kind: Commit, Number: v.Number, Stage: s.Book().Stage})
+			}
+			return rapid.SampledFrom(ops).Draw(rt, "op")
+		}
+		for range rapid.IntRange(0, 60).Draw(rt, "before") {
+			s.Apply(op(s))
+		}
+		text, err := s.Snapshot()
+		if err != nil {
+			rt.Fatal(err)
+		}
+		read, err := Load(text)
+		if err != nil {
+			rt.Fatal(err)
+		}
+		for range rapid.IntRange(0, 20).Draw(rt, "after") {
+			if d := cmp.Diff(s.Book(), read.Book(), cmpopts.EquateEmpty()); d != "" {
+				rt.Fatal(d)
+			}
+			o := op(s)
+			a, _ := s.Apply(o)
+			if b, _ := read.Apply(o); a != b {
+				rt.Fatalf("%+v: %+v, and read from its snapshot %+v", o, a, b)
+			}
+		}
+		// A backup in the place of the running State takes nothing of what nodes were told back.
+		restored := Restored(read, s)
+		for uid, n := range s.Book().Nodes {
+			if r := restored.Book().Nodes[uid]; r == nil || r.Told != n.Told || r.InTouch() && !n.InTouch() {
+				rt.Fatalf("%s: %+v, restored %+v", uid, n, r)
+			}
+		}
+	})
+}
+
 func TestRecordsByPrefix(t *testing.T) {
 	s := New()
 	for _, k := range []string{"b/1", "a/2", "a/1"} {
--- a/internal/registry/state/state.go
+++ b/internal/registry/state/state.go
@@ -58,13 +58,14 @@
 
 // Op is one write.
 type Op struct {
-	Kind  string `json:"kind"`
-	ID    string `json:"id,omitempty"` // a repeat with the same one changes nothing and gets the same answer
-	Entry *Entry `json:"entry,omitempty"`
-	UID   string `json:"uid,omitempty"`
-	Token int64  `json:"token,omitempty"`  // 0: an operator's
-	IfMod int64  `json:"if_mod,omitempty"` // only if the entry is of this revision; 0: whatever it is; or Absent
-	Fence *Fence `json:"fence,omitempty"`  // only as long as its holder has its lease
+	Kind   string `json:"kind"`
+	ID     string `json:"id,omitempty"` // a repeat with the same one changes nothing and gets the same answer
+	Entry  *Entry `json:"entry,omitempty"`
+	UID    string `json:"uid,omitempty"`
+	Token  int64  `json:"token,omitempty"`   // 0: an operator's
+	IfMod  int64  `json:"if_mod,omitempty"`  // only if the entry is of this revision; 0: whatever it is; or Absent
+	Fence  *Fence `json:"fence,omitempty"`   // only as long as its holder has its lease
+	WallMS int64  `json:"wall_ms,omitempty"` // Unix time by the leader's clock as it writes of leases, for people alone; 0: not said
 	// What Update sets; absent: as it is.
 	State    string   `json:"state,omitempty"`
 	Capacity *float64 `json:"capacity,omitempty"`
@@ -122,6 +123,7 @@
 	members map[string]string
 	answers map[string]Answer // by the writes' ids
 	order   []string          // of those ids
+	wall    int64             // of the write that is carried out; see Op.WallMS
 	agreed
 }
 
@@ -166,6 +168,7 @@
 			return a, nil
 		}
 	}
+	s.wall = op.WallMS
 	a, changed = s.apply(op)
 	a.Rev = s.rev
 	if op.ID != "" {
