A node that takes settings by agreement serves once it is in touch

Change: with the key agreed a node listens, and serves only when the registry has this process's own word that it runs what it is told; one that is ended before has served nobody. A node that is heard again says what it runs anew. It writes down when it is in touch, out of it, and from when it serves. Without the key nothing changes. Tests: TestServesOnceCaughtUp against a registry's State, -race -count=20: pass; with the wait planted out it fails (serving true before its word was taken).

--- a/internal/node/agreed.go
+++ b/internal/node/agreed.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"log"
 	"net/url"
 	"os"
@@ -61,6 +62,10 @@
 	running kept           // number 0: what the node was started with
 	looked  kept           // the proposed version that was looked at last, and why it cannot be run
 	refused string
+
+	reported int64         // revision at which this process's own word of what it runs was last taken; 0: it was not yet
+	inTouch  bool          // by the registry's word since then
+	caughtUp chan struct{} // closed when it was in touch for the first time
 }
 
 // newFollower returns what follows the site's versions; nil: nothing does.
@@ -73,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &follower{n: n, cfg: a, writer: w, running: run}, nil
+	return &follower{n: n, cfg: a, writer: w, running: run, caughtUp: make(chan struct{})}, nil
 }
 
 // withKept is the configuration with the version that an earlier process kept. What cannot be read or run is passed over.
@@ -147,7 +152,7 @@
 		}
 		rev = got.Rev
 		if got.Config != nil && got.Config.Node != nil && (f.holder == nil || got.Config.Node.Start == f.holder.Token(f.n.cfg.Name)) {
-			f.follow(ctx, got.Config)
+			f.follow(ctx, got.Config, rev)
 		}
 	}
 }
@@ -195,14 +200,19 @@
 	return nil
 }
 
-// follow does what this node is told, and says what came of it.
-func (f *follower) follow(ctx context.Context, c *state.NodeConfig) {
+// follow does what this node is told, as of a revision, and says what came of it.
+func (f *follower) follow(ctx context.Context, c *state.NodeConfig, rev int64) {
 	start := c.Node.Start
+	f.note(c, rev)
 	if c.Told.Number > f.running.Number {
 		f.activate(c.Told)
 	}
-	if !c.Node.Known || c.Node.Running != f.running.Number {
-		f.writer.One(ctx, state.Op{Kind: state.Report, UID: f.n.cfg.Name, Token: start, Number: f.running.Number, Hash: f.running.Hash}) // another look tells whether it was heard
+	caughtUp := c.Node.CatchingUp && !c.Node.Missing && c.Node.Fault == "" && c.Told.Number == f.running.Number
+	if !c.Node.Known || caughtUp || c.Node.Running != f.running.Number || f.reported == 0 {
+		a, err := f.writer.One(ctx, state.Op{Kind: state.Report, UID: f.n.cfg.Name, Token: start, Number: f.running.Number, Hash: f.running.Hash})
+		if err == nil && a.Fault == "" {
+			f.reported = a.Rev
+		} // else another look tells whether it was heard
 	}
 	p := c.Pending
 	if p == nil || c.Node.Acked == p.Number || c.Node.Refused != "" || p.Number <= f.running.Number {
@@ -225,6 +235,39 @@
 	f.writer.One(ctx, state.Op{Kind: state.Ack, UID: f.n.cfg.Name, Token: start, Number: p.Number, Hash: p.Hash, Refused: f.refused})
 }
 
+// note takes down whether the registry counts this node as in touch, and lets it serve the first time that it does. What the
+// registry knew before it had this process's own word is not about this process.
+func (f *follower) note(c *state.NodeConfig, rev int64) {
+	is := c.Node.InTouch() && c.Node.Known && c.Node.Running == f.running.Number && f.reported > 0 && rev >= f.reported
+	if is && !f.inTouch {
+		f.say(fmt.Sprintf("in touch by start %d with", c.Node.Start), f.running)
+		select {
+		case <-f.caughtUp:
+		default:
+			close(f.caughtUp)
+		}
+	}
+	if f.inTouch && !c.Node.InTouch() {
+		f.say(fmt.Sprintf("out of touch by start %d with", c.Node.Start), f.running)
+	}
+	f.inTouch = is || f.inTouch && c.Node.InTouch()
+}
+
+// awaitCaughtUp waits until this start of the node is in touch, so that it never serves by what was in force before it; false:
+// ctx ended first. While the registry is away that lasts as long as it is.
+func (n *Node) awaitCaughtUp(ctx context.Context) bool {
+	if n.follower == nil {
+		return true
+	}
+	select {
+	case <-n.follower.caughtUp:
+		log.Printf("agreed: serves at %d", monotonic())
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // activate runs a version from now on, and keeps it for the process after this one. It is kept first: a process that dies in
 // between then starts with what it was told.
 func (f *follower) activate(c state.Content) {
@@ -254,9 +297,14 @@
 
 // say writes down what the node does, with the machine's monotonic clock, for who judges from outside.
 func (f *follower) say(what string, k kept) {
+	log.Printf("agreed: %s version %d %.12s at %d", what, k.Number, cmp.Or(k.Hash, "-"), monotonic())
+}
+
+// monotonic is the machine's monotonic clock, in nanoseconds.
+func monotonic() int64 {
 	var t unix.Timespec
 	unix.ClockGettime(unix.CLOCK_MONOTONIC, &t) // it exists on every Linux
-	log.Printf("agreed: %s version %d %.12s at %d", what, k.Number, cmp.Or(k.Hash, "-"), t.Nano())
+	return t.Nano()
 }
 
 // couldRun says why the node could not run settings; nil: it could. It looks exactly as a reload does.
--- a/internal/node/agreed_test.go
+++ b/internal/node/agreed_test.go
@@ -13,7 +13,13 @@
 // agreedConfig is a configuration that takes its settings from a registry, which nobody answers for.
 func agreedConfig(t *testing.T, keep string) Config {
 	t.Helper()
-	text := strings.Replace(goodConfig, `"peers"`, `"agreed":{"endpoints":["127.0.0.1:1"],"tier":"front","keep":"`+keep+`"},"peers"`, 1)
+	return agreedConfigAt(t, "127.0.0.1:1", keep)
+}
+
+// agreedConfigAt is one that takes them from a registry at an address, with a short lease.
+func agreedConfigAt(t *testing.T, addr, keep string) Config {
+	t.Helper()
+	text := strings.Replace(goodConfig, `"peers"`, `"agreed":{"endpoints":["`+addr+`"],"tier":"front","ttl_ms":150,"keep":"`+keep+`"},"peers"`, 1)
 	text = strings.Replace(text, `"127.0.0.1:3000"`, `"127.0.0.1:0"`, 1)
 	cfg, err := parseConfig([]byte(text))
 	if err != nil {
--- /dev/null
+++ b/internal/node/caughtup_test.go
@@ -0,0 +1,235 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"hollyspur/internal/registry/state"
+)
+
+// oneReplica is a registry of one replica without leases: a State behind the calls that a follower makes. gate holds back what
+// it is asked to write; nil: nothing.
+type oneReplica struct {
+	mu    sync.Mutex
+	state *state.State
+	wake  chan struct{} // closed with the next change
+	gate  func(state.Op)
+}
+
+func newOneReplica(t *testing.T) (*oneReplica, string) {
+	t.Helper()
+	r := &oneReplica{state: state.New(), wake: make(chan struct{})}
+	s := httptest.NewServer(r)
+	t.Cleanup(s.Close)
+	return r, strings.TrimPrefix(s.URL, "http://")
+}
+
+// write carries writes out.
+func (r *oneReplica) write(ops ...state.Op) (l []state.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, op := range ops {
+		a, _ := r.state.Apply(op)
+		l = append(l, a)
+	}
+	close(r.wake)
+	r.wake = make(chan struct{})
+	return l
+}
+
+// node is what the book knows of a node.
+func (r *oneReplica) node(uid string) (inTouch bool, running int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := r.state.Book().Nodes[uid]
+	return n.InTouch(), n.Running
+}
+
+func (r *oneReplica) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	var body struct {
+		Ops    []state.Op
+		Leases []struct {
+			UID   string
+			Token int64
+		}
+	}
+	if q.Method == http.MethodPost {
+		if err := json.NewDecoder(q.Body).Decode(&body); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+	}
+	switch q.URL.Path {
+	case "/registry/write":
+		if r.gate != nil {
+			for _, op := range body.Ops {
+				r.gate(op)
+			}
+		}
+		json.NewEncoder(w).Encode(map[string]any{"answers": r.write(body.Ops...)})
+	case "/registry/renew":
+		unknown := []string{}
+		r.mu.Lock()
+		for _, l := range body.Leases {
+			if e := r.state.Get(l.UID); e == nil || e.Token != l.Token {
+				unknown = append(unknown, l.UID)
+			}
+		}
+		r.mu.Unlock()
+		json.NewEncoder(w).Encode(map[string]any{"unknown": unknown})
+	case "/registry/agreed":
+		r.agreed(w, q)
+	}
+}
+
+// agreed answers once there is more than the asker knows, or its wait is over.
+func (r *oneReplica) agreed(w http.ResponseWriter, q *http.Request) {
+	after, _ := strconv.ParseInt(q.URL.Query().Get("after"), 10, 64) // the client's own
+	ms, _ := strconv.Atoi(q.URL.Query().Get("wait_ms"))
+	over := time.After(time.Duration(ms) * time.Millisecond)
+	for waits := true; ; {
+		r.mu.Lock()
+		wake := r.wake
+		if r.state.Rev() > after || !waits {
+			uid := q.URL.Query().Get("node") + q.URL.Query().Get("unit") // one of them
+			text, err := json.Marshal(r.state.AgreedOfNode(uid, nil))
+			r.mu.Unlock()
+			if err == nil {
+				w.Write(text)
+			}
+			return
+		}
+		r.mu.Unlock()
+		select {
+		case <-wake:
+		case <-over:
+			waits = false
+		case <-q.Context().Done():
+			return
+		}
+	}
+}
+
+// force brings a version into force with the word of two other nodes.
+func (r *oneReplica) force(t *testing.T, content json.RawMessage) int64 {
+	t.Helper()
+	var start [2]int64
+	ops := []state.Op{}
+	for i := range start {
+		e := &state.Entry{UID: fmt.Sprint("other", i), Endpoint: "x:1", Role: state.Node, Tier: "front", State: state.Serving, Capacity: 1}
+		start[i] = r.write(state.Op{Kind: state.Register, Entry: e})[0].Token
+	}
+	say := func(kind string, number int64, hash string) {
+		for i, s := range start {
+			ops = append(ops, state.Op{Kind: kind, UID: fmt.Sprint("other", i), Token: s, Number: number, Hash: hash})
+		}
+	}
+	r.mu.Lock()
+	was := r.state.Book().Committed
+	r.mu.Unlock()
+	say(state.Report, was.Number, was.Hash)
+	ops = append(ops, state.Op{Kind: state.Propose, Value: content, Replaces: was.Number, Stages: []float64{1}})
+	answers := r.write(ops...)
+	number := answers[len(answers)-1].Token
+	ops = ops[:0]
+	say(state.Ack, number, state.Hash(content))
+	ops = append(ops, state.Op{Kind: state.Commit, Number: number})
+	say(state.Report, number, state.Hash(content))
+	for _, a := range r.write(ops...) {
+		if a.Fault != "" {
+			t.Fatalf("version %d: %+v", number, a)
+		}
+	}
+	return number
+}
+
+func attempts(t *testing.T, next int) json.RawMessage {
+	return otherSettings(t, `"limits":{`, fmt.Sprintf(`"limits":{"max-attempts":%d,`, next))
+}
+
+// A node starts with a version that an earlier process kept, while another is in force. It serves only once the registry has
+// its word that it runs that one; one that ends before has served nobody. A while later nobody hears from it, two versions
+// pass by, and it comes back through the last, serving all along.
+func TestServesOnceCaughtUp(t *testing.T) {
+	t.Parallel()
+	r, addr := newOneReplica(t)
+	first := attempts(t, 5)
+	r.force(t, first)
+	r.force(t, attempts(t, 6))
+	keep := filepath.Join(t.TempDir(), "kept")
+	text, err := json.Marshal(kept{1, state.Hash(first), first})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(keep, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg := agreedConfigAt(t, addr, keep)
+	reported, let := make(chan state.Op, 1), make(chan struct{})
+	r.gate = func(op state.Op) {
+		if op.Kind == state.Report && op.UID == "n3" {
+			select {
+			case reported <- op:
+			default:
+			}
+			<-let
+		}
+	}
+
+	early := newNodeFor(t, cfg)
+	ctx, end := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- early.Run(ctx) }()
+	wait(t, reported)
+	end()
+	if err := wait(t, done); err != nil || early.serving.Load() {
+		t.Errorf("ended before it had caught up: %v, serving %v", err, early.serving.Load())
+	}
+
+	if text, err = json.Marshal(kept{1, state.Hash(first), first}); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(keep, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	n := newNodeFor(t, cfg)
+	runNode(t, n)
+	eventually(t, "it says what it runs", func() bool { return n.running(t) == 6 })
+	wait(t, reported)
+	if inTouch, _ := r.node("n3"); n.serving.Load() || inTouch {
+		t.Errorf("serving %v, in touch %v before its word was taken", n.serving.Load(), inTouch)
+	}
+	close(let)
+	if s := status(t, n, "GET", "/nothing/1"); s != http.StatusNotFound {
+		t.Errorf("status %d", s)
+	}
+	if inTouch, running := r.node("n3"); !inTouch || running != 2 {
+		t.Errorf("it serves: in touch %v with version %d", inTouch, running)
+	}
+
+	r.mu.Lock()
+	start := r.state.Get("n3").Token
+	r.mu.Unlock()
+	r.write(state.Op{Kind: state.Expire, UID: "n3", Token: start})
+	r.force(t, attempts(t, 7))
+	r.force(t, attempts(t, 8))
+	eventually(t, "it is back in touch", func() bool { inTouch, running := r.node("n3"); return inTouch && running == 4 })
+	if got := n.running(t); got != 8 {
+		t.Errorf("it is in touch with version 4 and makes %d attempts", got)
+	}
+}
+
+// running is how many attempts a node makes, by which its settings are known.
+func (n *Node) running(t *testing.T) int {
+	return onLoop(t, n, func() int { return n.loop.maxAttempts })
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -217,6 +217,9 @@
 	if !n.cfg.Settings.AskDiscovery && n.registry == nil {
 		n.awaitNews(ctx)
 	}
+	if !n.awaitCaughtUp(ctx) {
+		return n.listener.Close()
+	}
 	n.serving.Store(true)
 	srv := n.front.server()
 	defer srv.Close()
