--- a/internal/registry/replica/interleave_test.go
+++ b/internal/registry/replica/interleave_test.go
@@ -227,3 +227,103 @@
 	interleave.Check(t, interleave.Options{}, body(false))
 	interleave.Finds(t, interleave.Options{}, "run", body(true))
 }
+
+// Version 1 is in force. The leader writes that n2's lease has ended, n2 comes back by the same start or by a fresh one and catches up,
+// and staff and controllers bring one more version into force and propose a third, in every order. Whoever is in touch when
+// that one is proposed runs what was in force. Where n2 is one of three in its zone it holds nothing up; where it is alone
+// there, what waits for it goes on in the end, by its word or as its zone is lost.
+func TestInterleaveTouch(t *testing.T) {
+	node := func(uid, zone string, boot float64) state.Op {
+		return state.Op{Kind: state.Register, Entry: &state.Entry{UID: uid, Endpoint: "x:1", State: state.Serving, Role: state.Node, Tier: "front", Zone: zone, Capacity: 1, BootMS: boot}}
+	}
+	content := func(n int64) json.RawMessage { return json.RawMessage(fmt.Sprint(n)) }
+	propose := func(n int64) state.Op {
+		return state.Op{Kind: state.Propose, Value: content(n), Replaces: n - 1, Stages: []float64{1}}
+	}
+	body := func(zone string, boot float64, early bool) func(x *interleave.Exec) {
+		return func(x *interleave.Exec) {
+			f, order := newFSM(), &interleave.Mutex{}
+			starts, runs := map[string]int64{}, map[string]int64{}
+			say := func(kind string, n int64, uids ...string) (l []state.Op) {
+				for _, uid := range uids {
+					l = append(l, state.Op{Kind: kind, UID: uid, Token: starts[uid], Number: n, Hash: state.Hash(content(n))})
+				}
+				return l
+			}
+			others := []string{"n0", "n1"}
+			all := append(others[:2:2], "n2")
+			for i, a := range apply(f, order, node("n0", "a", 1), node("n1", "a", 1), node("n2", zone, 1)) {
+				starts[all[i]] = a.Token
+			}
+			apply(f, order, say(state.Report, 0, all...)...)
+			apply(f, order, append([]state.Op{propose(1)}, say(state.Ack, 1, all...)...)...)
+			apply(f, order, append([]state.Op{{Kind: state.Commit, Number: 1}}, say(state.Report, 1, all...)...)...)
+			for _, uid := range all {
+				runs[uid] = 1
+			}
+			run := func(uid string, n int64) {
+				interleave.Step(&runs, "run")
+				runs[uid] = n
+			}
+			x.Go("leader", func() { apply(f, order, state.Op{Kind: state.Expire, UID: "n2", Token: starts["n2"]}) })
+			x.Go("n2", func() {
+				start := apply(f, order, node("n2", zone, boot))[0].Token
+				told := int64(0)
+				f.read(func(s *state.State) { told = s.Book().Nodes["n2"].Told })
+				report := state.Op{Kind: state.Report, UID: "n2", Token: start, Number: told, Hash: state.Hash(content(told))}
+				if early { // the planted fault: it says that it runs what it is about to take
+					apply(f, order, report)
+				}
+				run("n2", told)
+				apply(f, order, report)
+			})
+			x.Go("staff and controller", func() {
+				ops := append([]state.Op{propose(2)}, say(state.Ack, 2, others...)...)
+				for _, a := range apply(f, order, ops...) {
+					if a.Fault != "" {
+						interleave.Failf("n0 and n1 are held up: %+v", a)
+					}
+				}
+				if a := apply(f, order, state.Op{Kind: state.Commit, Number: 2})[0]; a.Fault != "" {
+					if zone == "a" {
+						interleave.Failf("held up: %+v", a)
+					}
+					return // it waits for the zone's quorum
+				}
+				run("n0", 2)
+				run("n1", 2)
+				apply(f, order, say(state.Report, 2, others...)...)
+				// One step, in which nothing is between what the book says and what nodes run.
+				interleave.Step(&runs, "look")
+				if a := apply(f, order, propose(3))[0]; a.Fault == "" {
+					f.read(func(s *state.State) {
+						for uid, n := range s.Book().Nodes {
+							if n.InTouch() && runs[uid] != 2 {
+								interleave.Failf("%s is in touch and runs version %d", uid, runs[uid])
+							}
+						}
+					})
+				}
+			})
+			x.Finally(func() {
+				b := f.state.Book()
+				n := b.Nodes["n2"]
+				if n.Told < b.Committed.Number || n.InTouch() && n.Running < 1 {
+					interleave.Failf("in force %d: %+v", b.Committed.Number, n)
+				}
+				if v := b.Pending; v != nil && v.Number == 2 {
+					apply(f, order, state.Op{Kind: state.Ack, UID: "n2", Token: n.Start, Number: 2, Hash: v.Hash})
+					if a := apply(f, order, state.Op{Kind: state.Commit, Number: 2})[0]; a.Fault != "" {
+						interleave.Failf("held up in the end: %+v", a)
+					}
+				}
+			})
+		}
+	}
+	for _, zone := range []string{"a", "b"} {
+		for _, boot := range []float64{1, 2} { // the same start, or a fresh one
+			interleave.Check(t, interleave.Options{}, body(zone, boot, false))
+		}
+	}
+	interleave.Finds(t, interleave.Options{}, "is in touch and runs version 1", body("a", 1, true))
+}
