Clients of the registry and agents can be given their dialer

Need: a scale run counts each node's bytes at its socket, and many stand-ins in one process must not share one pool of connections. With a Dial a Writer has a transport of its own, set as the default one is; without it nothing changes. The tests of the client pass.

--- a/internal/agree/host/agent.go
+++ b/internal/agree/host/agent.go
@@ -34,6 +34,7 @@
 	Journal  *Journal
 	Log      *slog.Logger
 	Wall     func() time.Time // nil: the system's clock
+	Dial     client.Dial      // nil: the system's
 
 	writer *client.Writer
 	holder *client.Holder
@@ -56,7 +57,7 @@
 	if a.Wall == nil {
 		a.Wall = time.Now
 	}
-	if a.writer, err = client.NewWriter(client.Options{Endpoints: a.Registry, RestMost: 300 * time.Millisecond}); err != nil {
+	if a.writer, err = client.NewWriter(client.Options{Endpoints: a.Registry, RestMost: 300 * time.Millisecond, Dial: a.Dial}); err != nil {
 		return err
 	}
 	a.Entry.TTLMS = a.TTL.Milliseconds()
--- a/internal/registry/client/client.go
+++ b/internal/registry/client/client.go
@@ -15,6 +15,7 @@
 	"io"
 	"maps"
 	mrand "math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -37,6 +38,9 @@
 	Targets []*state.Entry `json:"targets"`
 }
 
+// Dial opens a connection, as net.Dialer.DialContext does.
+type Dial = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Options say which registry, and how patient a client is.
 type Options struct {
 	Endpoints []string                         // host:port of the replicas
@@ -45,6 +49,7 @@
 	Silence   time.Duration                    // a watch that says nothing for so long is given up; 0: 5 s, over two heartbeats
 	RestFirst time.Duration                    // between tries, doubled up to RestMost, half of it by chance; 0: 50 ms
 	RestMost  time.Duration                    // 0: 2 s
+	Dial      Dial                             // with connections of its own then; nil: the system's
 }
 
 func (o *Options) complete() error {
@@ -97,7 +102,7 @@
 	if err := opt.complete(); err != nil {
 		return nil, err
 	}
-	r := &Reader{opt: opt, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, entries: map[string]*state.Entry{}}
+	r := &Reader{opt: opt, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: opt.Dial}}, entries: map[string]*state.Entry{}}
 	if opt.Cache != "" {
 		c := newCache(opt.Cache)
 		c.load(r)
@@ -248,7 +253,13 @@
 	if err := opt.complete(); err != nil {
 		return nil, err
 	}
-	return &Writer{opt: opt, http: &http.Client{Timeout: callWithin}, at: mrand.IntN(len(opt.Endpoints))}, nil
+	w := &Writer{opt: opt, http: &http.Client{Timeout: callWithin}, at: mrand.IntN(len(opt.Endpoints))}
+	if opt.Dial != nil {
+		own := http.DefaultTransport.(*http.Transport).Clone() // nobody puts another there
+		own.DialContext = opt.Dial
+		w.http.Transport = own
+	}
+	return w, nil
 }
 
 // Write has ops carried out, in their order and each once, and gives what became of each. It repeats them until a
