The follower of versions runs without a node

Need: hollow nodes run the real follower, and have no loop nor listener. A pure move: what it used of the node it gets in Following.

--- a/internal/node/agreed.go
+++ b/internal/node/agreed.go
@@ -51,11 +51,32 @@
 	Settings json.RawMessage `json:"settings"`
 }
 
+// Following is what a follower of versions needs of whose settings they are: a Node, or what stands for one in a trial.
+type Following struct {
+	Name     string
+	Addr     func() string // where it listens
+	Agreed   Agreed
+	CouldRun func(settings json.RawMessage) error // why it could not run them; nil: it could
+	Run      func(settings json.RawMessage) error // runs them from now on
+	Log      func(format string, args ...any)
+	Dial     client.Dial // nil: the system's
+}
+
+// Follow follows what a site has agreed on until ctx ends or another process is this node. Name, Addr, CouldRun, Run, Log and
+// the endpoints must be there.
+func Follow(ctx context.Context, o Following) error {
+	f, err := follow(o, kept{})
+	if err != nil {
+		return err
+	}
+	f.run(ctx)
+	return ctx.Err()
+}
+
 // follower follows what the site has agreed on for this node. It runs beside the loop, on a goroutine of its own, and hands
 // over settings as a reload does, in one step of the loop; traffic never waits for it.
 type follower struct {
-	n       *Node
-	cfg     Agreed
+	Following
 	writer  *client.Writer
 	holder  *client.Holder // nil: an agent holds the entry
 	running kept           // number 0: what the node was started with
@@ -65,15 +86,19 @@
 
 // newFollower returns what follows the site's versions; nil: nothing does.
 func newFollower(n *Node, run kept) (*follower, error) {
-	a := n.cfg.Agreed
-	if len(a.Endpoints) == 0 {
+	if len(n.cfg.Agreed.Endpoints) == 0 {
 		return nil, nil
 	}
-	w, err := client.NewWriter(client.Options{Endpoints: a.Endpoints, RestMost: 300 * time.Millisecond})
+	return follow(Following{Name: n.cfg.Name, Addr: func() string { return n.Addr().String() }, Agreed: n.cfg.Agreed,
+		CouldRun: n.couldRun, Run: n.runSettings, Log: log.Printf}, run)
+}
+
+func follow(o Following, run kept) (*follower, error) {
+	w, err := client.NewWriter(client.Options{Endpoints: o.Agreed.Endpoints, RestMost: 300 * time.Millisecond, Dial: o.Dial})
 	if err != nil {
 		return nil, err
 	}
-	return &follower{n: n, cfg: a, writer: w, running: run}, nil
+	return &follower{Following: o, writer: w, running: run}, nil
 }
 
 // withKept is the configuration with the version that an earlier process kept. What cannot be read or run is passed over.
@@ -133,20 +158,20 @@
 	for ctx.Err() == nil {
 		if err := f.register(ctx); err != nil {
 			if errors.Is(err, client.ErrFenced) {
-				log.Printf("agreed: another process is this node: %v", err)
+				f.Log("agreed: another process is this node: %v", err)
 				return
 			}
 			pauseFor(ctx, agreedRest)
 			continue
 		}
 		has := strconv.FormatInt(f.running.Number, 10) + "," + strconv.FormatInt(f.looked.Number, 10)
-		got, err := f.writer.Agreed(ctx, url.Values{"node": {f.n.cfg.Name}, "has": {has}}, rev, agreedWait)
+		got, err := f.writer.Agreed(ctx, url.Values{"node": {f.Name}, "has": {has}}, rev, agreedWait)
 		if err != nil {
 			rev = 0
 			continue
 		}
 		rev = got.Rev
-		if got.Config != nil && got.Config.Node != nil && (f.holder == nil || got.Config.Node.Start == f.holder.Token(f.n.cfg.Name)) {
+		if got.Config != nil && got.Config.Node != nil && (f.holder == nil || got.Config.Node.Start == f.holder.Token(f.Name)) {
 			f.follow(ctx, got.Config)
 		}
 	}
@@ -161,8 +186,8 @@
 
 // register enters this start of the node's process, once.
 func (f *follower) register(ctx context.Context) error {
-	name := f.n.cfg.Name
-	if f.cfg.ByAgent {
+	name := f.Name
+	if f.Agreed.ByAgent {
 		return nil
 	}
 	if f.holder != nil {
@@ -176,11 +201,11 @@
 		return err
 	}
 	ttl := agreedTTL
-	if f.cfg.TTLMS > 0 {
-		ttl = time.Duration(f.cfg.TTLMS) * time.Millisecond
+	if f.Agreed.TTLMS > 0 {
+		ttl = time.Duration(f.Agreed.TTLMS) * time.Millisecond
 	}
-	e := &state.Entry{UID: name, Endpoint: f.n.Addr().String(), Role: state.Node, Tier: f.cfg.Tier, Zone: f.cfg.Zone, Region: f.cfg.Region,
-		Kind: f.cfg.SendsTo, Capacity: f.cfg.Capacity, State: state.Serving, BootMS: boot, TTLMS: ttl.Milliseconds()}
+	e := &state.Entry{UID: name, Endpoint: f.Addr(), Role: state.Node, Tier: f.Agreed.Tier, Zone: f.Agreed.Zone, Region: f.Agreed.Region,
+		Kind: f.Agreed.SendsTo, Capacity: f.Agreed.Capacity, State: state.Serving, BootMS: boot, TTLMS: ttl.Milliseconds()}
 	if e.Capacity == 0 {
 		e.Capacity = 1
 	}
@@ -202,7 +227,7 @@
 		f.activate(c.Told)
 	}
 	if !c.Node.Known || c.Node.Running != f.running.Number {
-		f.writer.One(ctx, state.Op{Kind: state.Report, UID: f.n.cfg.Name, Token: start, Number: f.running.Number, Hash: f.running.Hash}) // another look tells whether it was heard
+		f.writer.One(ctx, state.Op{Kind: state.Report, UID: f.Name, Token: start, Number: f.running.Number, Hash: f.running.Hash}) // another look tells whether it was heard
 	}
 	p := c.Pending
 	if p == nil || c.Node.Acked == p.Number || c.Node.Refused != "" || p.Number <= f.running.Number {
@@ -213,7 +238,7 @@
 			return
 		}
 		f.looked, f.refused = kept{p.Number, p.Hash, p.Settings}, ""
-		if err := f.n.couldRun(p.Settings); err != nil {
+		if err := f.CouldRun(p.Settings); err != nil {
 			f.refused = err.Error()
 		} else if state.Hash(p.Settings) != p.Hash {
 			f.refused = "its hash is another"
@@ -222,7 +247,7 @@
 	if f.refused == "" {
 		f.say("could run", f.looked)
 	}
-	f.writer.One(ctx, state.Op{Kind: state.Ack, UID: f.n.cfg.Name, Token: start, Number: p.Number, Hash: p.Hash, Refused: f.refused})
+	f.writer.One(ctx, state.Op{Kind: state.Ack, UID: f.Name, Token: start, Number: p.Number, Hash: p.Hash, Refused: f.refused})
 }
 
 // activate runs a version from now on, and keeps it for the process after this one. It is kept first: a process that dies in
@@ -235,17 +260,17 @@
 	if next.Settings == nil || state.Hash(next.Settings) != c.Hash {
 		return
 	}
-	if f.cfg.Keep != "" {
+	if f.Agreed.Keep != "" {
 		text, err := json.Marshal(next)
 		if err == nil {
-			err = renameio.WriteFile(f.cfg.Keep, text, 0o600)
+			err = renameio.WriteFile(f.Agreed.Keep, text, 0o600)
 		}
 		if err != nil {
-			log.Printf("agreed: version %d is not kept: %v", c.Number, err)
+			f.Log("agreed: version %d is not kept: %v", c.Number, err)
 		}
 	}
-	if err := f.n.runSettings(next.Settings); err != nil {
-		log.Printf("agreed: version %d cannot be run: %v", c.Number, err)
+	if err := f.Run(next.Settings); err != nil {
+		f.Log("agreed: version %d cannot be run: %v", c.Number, err)
 		return
 	}
 	f.running = next
@@ -256,7 +281,7 @@
 func (f *follower) say(what string, k kept) {
 	var t unix.Timespec
 	unix.ClockGettime(unix.CLOCK_MONOTONIC, &t) // it exists on every Linux
-	log.Printf("agreed: %s version %d %.12s at %d", what, k.Number, cmp.Or(k.Hash, "-"), t.Nano())
+	f.Log("agreed: %s version %d %.12s at %d", what, k.Number, cmp.Or(k.Hash, "-"), t.Nano())
 }
 
 // couldRun says why the node could not run settings; nil: it could. It looks exactly as a reload does.
