--- /dev/null
+++ b/internal/lab/scale/growth_test.go
@@ -0,0 +1,113 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"hollyspur/internal/registry/client"
+	"hollyspur/internal/registry/cluster"
+	"hollyspur/internal/registry/replica"
+	"hollyspur/internal/registry/state"
+)
+
+// limit is how long anything may take that has to happen.
+const limit = 30 * time.Second
+
+// A change of one server costs each watcher as many messages and bytes however many servers and watchers there are: on a registry
+// in this process, counted at the sockets.
+func TestChangeCostsNoMoreWithNodes(t *testing.T) {
+	const changes = 5
+	bytes := map[int]int64{}
+	for _, n := range []int{10, 100} {
+		bytes[n] = func() int64 {
+			ctx, cancel := context.WithTimeout(t.Context(), limit)
+			defer cancel()
+			at, raft := free(t), free(t)
+			r, err := replica.New(replica.Config{ID: "r0", Dir: t.TempDir(), Raft: raft, Address: at, Peers: []replica.Peer{{ID: "r0", Raft: raft, Address: at}},
+				Tick: 20 * time.Millisecond, Guard: replica.Guard{Share: 0.3, Least: 5, Window: time.Second, Confirm: time.Second}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer r.Close()
+			var own meter
+			w, err := client.NewWriter(client.Options{Endpoints: []string{at}, RestFirst: time.Millisecond, RestMost: 10 * time.Millisecond, Dial: own.dial})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer own.kill()
+			var ops []state.Op
+			for i := range n {
+				ops = append(ops, state.Op{Kind: state.Register, Entry: &state.Entry{UID: placeOf(i).server, Endpoint: fmt.Sprintf("10.1.0.%03d:3000", i), Zone: "z", State: state.Serving}})
+			}
+			a, err := w.Write(ctx, ops...)
+			if err != nil {
+				t.Fatal(err)
+			}
+			rev := a[len(a)-1].Rev
+			meters, heard := make([]meter, n), make(chan int64, n*(changes+1))
+			var readers []*client.Reader
+			watching, end := context.WithCancel(ctx)
+			var running sync.WaitGroup
+			defer running.Wait()
+			defer end()
+			for i := range n {
+				reader, err := client.NewReader(client.Options{Endpoints: []string{at}, RestFirst: time.Millisecond, RestMost: 10 * time.Millisecond, Silence: limit, Dial: meters[i].dial})
+				if err != nil {
+					t.Fatal(err)
+				}
+				readers = append(readers, reader)
+				running.Go(func() { reader.Run(watching, func(u client.Update) { heard <- u.Rev }) })
+			}
+			all := func(rev int64) {
+				for there := 0; there < n; {
+					select {
+					case got := <-heard:
+						if got == rev {
+							there++
+						}
+					case <-ctx.Done():
+						t.Fatalf("%d of %d watchers hold revision %d", there, n, rev)
+					}
+				}
+			}
+			all(rev)
+			before := make([]int64, n)
+			for i := range meters {
+				before[i] = meters[i].traffic().bytes
+			}
+			for i := range changes {
+				capacity := float64(2 + i)
+				a, err := w.Write(ctx, state.Op{Kind: state.Update, UID: placeOf(0).server, Capacity: &capacity})
+				if err != nil {
+					t.Fatal(err)
+				}
+				all(a[0].Rev)
+			}
+			most := int64(0)
+			for i, reader := range readers {
+				most = max(most, meters[i].traffic().bytes-before[i])
+				if v := reader.View(); v.Lines != changes || v.Wholes != 1 || meters[i].traffic().calls != 1 {
+					t.Errorf("%d nodes: %d lines and %d whole lists by %d calls", n, v.Lines, v.Wholes, meters[i].traffic().calls)
+				}
+			}
+			return most
+		}()
+	}
+	// A tenth more is what a few heartbeats of the watch come to on a slow machine.
+	if bytes[10] < changes*50 || float64(bytes[100]) > 1.1*float64(bytes[10]) {
+		t.Errorf("%d changes cost a node so many bytes: %v", changes, bytes)
+	}
+	t.Logf("%d changes cost a node so many bytes: %v", changes, bytes)
+}
+
+func free(t *testing.T) string {
+	t.Helper()
+	a, err := cluster.Free()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
--- a/internal/node/agreed.go
+++ b/internal/node/agreed.go
@@ -164,8 +164,7 @@
 			pauseFor(ctx, agreedRest)
 			continue
 		}
-		has := strconv.FormatInt(f.running.Number, 10) + "," + strconv.FormatInt(f.looked.Number, 10)
-		got, err := f.writer.Agreed(ctx, url.Values{"node": {f.Name}, "has": {has}}, rev, agreedWait)
+		got, err := f.writer.Agreed(ctx, url.Values{"node": {f.Name}, "has": {f.has()}}, rev, agreedWait)
 		if err != nil {
 			rev = 0
 			continue
@@ -177,6 +176,11 @@
 	}
 }
 
+// has are the versions whose content it has, as it asks without them.
+func (f *follower) has() string {
+	return strconv.FormatInt(f.running.Number, 10) + "," + strconv.FormatInt(f.looked.Number, 10)
+}
+
 func pauseFor(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
--- /dev/null
+++ b/internal/node/growth_test.go
@@ -0,0 +1,144 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"hollyspur/internal/registry/state"
+)
+
+// round is a registry in this process without a clock: in each round it answers every node that holds an older revision, and
+// then applies all that they wrote, together, as a log that is busy does.
+type round struct {
+	st    *state.State
+	mu    sync.Mutex // of ops and counts
+	ops   []state.Op
+	nodes []*follower
+	revs  []int64
+
+	bytes, messages map[string]int // by node, both ways, without headers
+}
+
+// ServeHTTP takes writes for the end of the round.
+func (r *round) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	text, err := io.ReadAll(q.Body)
+	var c struct{ Ops []state.Op }
+	if err == nil {
+		err = json.Unmarshal(text, &c)
+	}
+	if err != nil || len(c.Ops) != 1 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	r.mu.Lock()
+	r.ops = append(r.ops, c.Ops...)
+	r.mu.Unlock()
+	answer := `{"answers":[{"rev":` + strconv.FormatInt(r.st.Rev(), 10) + `}]}`
+	r.count(c.Ops[0].UID, len(text)+len(answer))
+	io.WriteString(w, answer)
+}
+
+func (r *round) count(node string, bytes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bytes[node] += bytes
+	r.messages[node]++
+}
+
+// play plays rounds until nobody has anything to hear or say, and gives how many there were.
+func (r *round) play(t *testing.T) (rounds int) {
+	t.Helper()
+	for ; ; rounds++ {
+		heard := false
+		for i, f := range r.nodes {
+			if r.revs[i] == r.st.Rev() {
+				continue
+			}
+			heard = true
+			has := map[int64]bool{}
+			for _, text := range strings.Split(f.has(), ",") {
+				n, err := strconv.ParseInt(text, 10, 64)
+				if err != nil {
+					t.Fatal(err)
+				}
+				has[n] = true
+			}
+			text, err := json.Marshal(r.st.AgreedOfNode(f.Name, has))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.count(f.Name, len(text))
+			var a state.Agreed
+			if err := json.Unmarshal(text, &a); err != nil {
+				t.Fatal(err)
+			}
+			r.revs[i] = a.Rev
+			f.follow(t.Context(), a.Config)
+		}
+		if !heard {
+			return rounds
+		}
+		r.mu.Lock()
+		ops := r.ops
+		r.ops = nil
+		r.mu.Unlock()
+		for _, op := range ops {
+			if a, _ := r.st.Apply(op); a.Fault != "" {
+				t.Fatalf("%s of %s: %s %s", op.Kind, op.UID, a.Fault, a.Why)
+			}
+		}
+	}
+}
+
+// A version costs each node as many messages and as many bytes whether there are 10 nodes, 100 or 1,000.
+func TestVersionCostsNoMoreWithNodes(t *testing.T) {
+	t.Parallel()
+	type cost struct{ bytes, messages, rounds int }
+	costs := map[int]cost{}
+	for _, n := range []int{10, 100, 1000} {
+		r := &round{st: state.New(), revs: make([]int64, n), bytes: map[string]int{}, messages: map[string]int{}}
+		server := httptest.NewServer(r)
+		defer server.Close()
+		for i := range n {
+			name := fmt.Sprintf("n%04d", i)
+			e := &state.Entry{UID: name, Endpoint: "10.0.0.1:3000", Role: state.Node, Tier: "front", Zone: fmt.Sprint("z", i%7), State: state.Serving, BootMS: 1e12, TTLMS: 2000}
+			if a, _ := r.st.Apply(state.Op{Kind: state.Register, Entry: e}); a.Fault != "" {
+				t.Fatal(a.Fault)
+			}
+			f, err := follow(Following{Name: name, Agreed: Agreed{Endpoints: []string{strings.TrimPrefix(server.URL, "http://")}, ByAgent: true},
+				CouldRun: func(json.RawMessage) error { return nil }, Run: func(json.RawMessage) error { return nil }, Log: func(string, ...any) {}}, kept{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.nodes = append(r.nodes, f)
+		}
+		r.play(t) // they say what they run
+		clear(r.bytes)
+		clear(r.messages)
+		a, _ := r.st.Apply(state.Op{Kind: state.Propose, Value: json.RawMessage(`{"limits":{"max-attempts":4}}`), Stages: []float64{1}})
+		rounds := r.play(t)
+		if a, _ := r.st.Apply(state.Op{Kind: state.Commit, Number: a.Token}); a.Fault != "" {
+			t.Fatalf("%d nodes: %s %s", n, a.Fault, a.Why)
+		}
+		rounds += r.play(t)
+		if !r.st.Book().Settled() || r.st.Book().Committed.Number != a.Token {
+			t.Fatalf("%d nodes: version %d is not in force", n, a.Token)
+		}
+		most := cost{rounds: rounds}
+		for _, f := range r.nodes {
+			most.bytes, most.messages = max(most.bytes, r.bytes[f.Name]), max(most.messages, r.messages[f.Name])
+		}
+		costs[n] = most
+	}
+	if costs[10].messages < 4 || costs[100] != costs[10] || costs[1000] != costs[10] {
+		t.Errorf("a version costs a node %+v", costs)
+	}
+	t.Logf("a version costs a node %+v", costs)
+}
