A stage waits for half of those told, and one that vanished is replaced once

Need: a version whose only told node died by chance would wait for a person; and a version that ends its processes must not be handed on by their silence. Change: at least half of those told, and one, run it before the next stage; in the place of a single node that vanished one more is told.

--- a/internal/agree/host/control.go
+++ b/internal/agree/host/control.go
@@ -120,7 +120,11 @@
 		c.note(Event{What: "asks", Version: strconv.FormatInt(p.Number, 10), Token: c.token}) // it may die before the answer
 		op := state.Op{Kind: state.Commit, Number: p.Number, Stage: v.Book.Stage, Fence: &state.Fence{UID: Lead, Token: c.token}}
 		if a, err := c.writer.One(ctx, op); err == nil && a.Fault == "" {
-			c.note(Event{What: "act", Version: strconv.FormatInt(p.Number, 10), Token: c.token, Sent: sent, Why: "stage"})
+			why := "stage"
+			if a.Token == p.Number {
+				why = "in force"
+			}
+			c.note(Event{What: "act", Version: strconv.FormatInt(p.Number, 10), Token: c.token, Sent: sent, Why: why})
 			c.Log.Info("acts", "controller", c.Name, "version", p.Number, "stage", v.Book.Stage)
 		}
 	}
--- a/internal/agree/rollout/rollout.go
+++ b/internal/agree/rollout/rollout.go
@@ -14,7 +14,8 @@
 //   - At most two contents run at any time among nodes in touch: the next version can be proposed only when each of them is
 //     known to run the last, and what was told to some nodes alone can only be taken back by another version with the
 //     old content.
-//   - A stage is told only when more than half of those told before are in touch and run it: who vanished is no evidence.
+//   - A stage is told only when at least half of those told before, and one, are in touch and run it: who vanished is no
+//     evidence. In the place of a single one that vanished another is told first.
 //   - No node is told to run a lower number than it was told before.
 //   - One that runs what nobody told it to, or that could not take what is proposed, halts.
 package rollout
@@ -376,7 +377,7 @@
 }
 
 // Commit tells the next stage's nodes to run the proposed version, if a quorum has acknowledged it and the nodes of the
-// stages before run it. stage is how many were told when the caller looked: a repeat changes nothing.
+// stages before run it; or one more, if the only one that was told has vanished. stage is how many were told when the caller looked: a repeat changes nothing.
 func (b *Book) Commit(number int64, stage int) error {
 	if b.Pending == nil || b.Pending.Number != number {
 		if number <= b.Committed.Number {
@@ -395,8 +396,9 @@
 	if err := b.Ready(); err != nil {
 		return err
 	}
+	instead := b.vanished()
 	// Nodes that are not in touch are told with the last stage, or when they come back after it.
-	last := b.Stage == len(b.Pending.Stages)-1
+	last := b.Stage == len(b.Pending.Stages)-1 && !instead
 	ids := slices.DeleteFunc(b.ids(), func(id string) bool { return !last && !b.Nodes[id].InTouch() })
 	told := 0
 	for _, id := range ids {
@@ -417,12 +419,18 @@
 		}
 	}
 	want := int(math.Ceil(b.Pending.Stages[b.Stage]*float64(len(ids))-1e-9)) - told
-	if last {
+	switch {
+	case instead:
+		want = 1
+	case last:
 		want = len(left)
 	}
 	for i := range min(max(want, 0), len(left)) {
 		b.Nodes[left[i*len(left)/want]].Told = number
 	}
+	if instead {
+		return nil
+	}
 	if b.Stage++; b.Stage == len(b.Pending.Stages) {
 		b.Committed, b.Pending, b.Stage = *b.Pending, nil, 0
 		for _, n := range b.Nodes {
@@ -461,13 +469,25 @@
 			run++
 		}
 	}
-	if told > 0 && 2*run <= told {
+	if told > 1 && 2*run < told {
 		return fmt.Errorf("%d of %d nodes that were told version %d are in touch and run it, %d are needed: wait for the others, go back, or declare them gone",
-			run, told, b.Pending.Number, told/2+1)
+			run, told, b.Pending.Number, (told+1)/2)
 	}
 	return nil
 }
 
+// vanished says that a single node was told the stages so far, and is not in touch. What it might have shown another is to show,
+// once: a version after which two have vanished waits.
+func (b *Book) vanished() bool {
+	var told []*Node
+	for _, n := range b.Nodes {
+		if n.Told == b.Pending.Number {
+			told = append(told, n)
+		}
+	}
+	return b.Stage > 0 && len(told) == 1 && !told[0].InTouch()
+}
+
 // Settled says that no version is under way and every node in touch is known to run what is in force.
 func (b *Book) Settled() bool { return b.Pending == nil && b.unsettled() == nil }
 
--- a/internal/registry/state/agree.go
+++ b/internal/registry/state/agree.go
@@ -37,7 +37,7 @@
 	Propose  = "propose"  // a version of nodes' settings, against the one that it replaces
 	Ack      = "ack"      // by a node: it could run what is proposed, or why not
 	Report   = "report"   // by a node: what it runs
-	Commit   = "commit"   // the next stage's nodes are to run it
+	Commit   = "commit"   // the next stage's nodes are to run it; the answer's Token is the version in force
 	Withdraw = "withdraw" // what no node was told to run
 	GoBack   = "go-back"  // the old content as a new version
 	Halt     = "halt"     // the version under way
@@ -175,8 +175,11 @@
 	wants := s.book.Wants()
 	maps.DeleteFunc(s.configs, func(n int64, _ json.RawMessage) bool { return !wants[n] })
 	a := Answer{}
-	if v != nil {
+	switch {
+	case v != nil:
 		a.Token = v.Number
+	case op.Kind == Commit:
+		a.Token = s.book.Committed.Number
 	}
 	return a
 }
