--- a/cmd/umberbank/fleetconfig.go
+++ b/cmd/umberbank/fleetconfig.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -11,6 +12,7 @@
 	"text/tabwriter"
 	"time"
 
+	"hollyspur/internal/agree/rollout"
 	"hollyspur/internal/registry/state"
 	"hollyspur/internal/wire"
 )
@@ -34,7 +36,8 @@
 // Help is shown by --help.
 func (fleetConfigPushCmd) Help() string {
 	return `Every node looks at it as at SIGHUP and acknowledges it, or says why it cannot. Only when more than half of the nodes of each zone
-have acknowledged it are the first stage's told to run it. Nodes that nobody hears from count until they are declared gone.
+have acknowledged it are the first stage's told to run it. Nodes that nobody hears from count in that until they are declared gone,
+a zone that is lost whole in the quorum of all alone; no stage waits for them.
 
 Example:
   umberbank fleet config push settings.json --stages 0.1,0.5,1 --bake 30s`
@@ -103,22 +106,53 @@
 		}
 		fmt.Fprintf(a.out, "under way: version %d %.12s, %d of %d stages told; %s\n", p.Number, p.Hash, b.Stage, len(p.Stages), stands)
 	}
+	for _, zone := range slices.Sorted(maps.Keys(b.Lost)) {
+		fmt.Fprintf(a.out, "zone %s is LOST since %s: its quorum is passed over\n", zone, since(b.Lost[zone]))
+	}
+	if l := b.OutOfTouch(); len(l) > 0 {
+		fmt.Fprintf(a.out, "%d of %d nodes are not in touch: nothing waits for them, and they take what is in force before they count\n", len(l), len(b.Nodes))
+	}
 	t := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "node\tzone\truns\ttold\tacknowledged\t")
 	for _, id := range slices.Sorted(maps.Keys(b.Nodes)) {
 		n := b.Nodes[id]
-		runs := fmt.Sprint(n.Running)
-		if !n.Known {
-			runs += " before its restart"
-		}
-		if n.Missing {
-			runs += ", missing"
-		}
-		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%s\n", id, n.Zone, runs, n.Told, n.Acked, strings.TrimSpace(n.Fault+" "+n.Refused))
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%s\n", id, n.Zone, runsNow(n), n.Told, n.Acked, strings.TrimSpace(n.Fault+" "+n.Refused))
 	}
 	return t.Flush()
 }
 
+// runsNow says what is known of what a node runs.
+func runsNow(n *rollout.Node) string {
+	switch {
+	case n.InTouch():
+		return fmt.Sprint(n.Running)
+	case n.Missing:
+		return fmt.Sprintf("%s, out of touch since %s", mayRun(n), since(*cmp.Or(n.Since, &rollout.Moment{})))
+	case n.Known:
+		return fmt.Sprintf("%d, catching up", n.Running)
+	}
+	return mayRun(n) + ", catching up"
+}
+
+// mayRun is what a node may run that is not in touch.
+func mayRun(n *rollout.Node) string {
+	if n.MayRun <= n.Running {
+		return fmt.Sprint(n.Running)
+	}
+	return fmt.Sprintf("%d to %d", n.Running, n.MayRun)
+}
+
+// since is when something was written, for people: by the leader's clock, or where that is not said by the revision.
+func since(m rollout.Moment) string {
+	switch {
+	case m.WallMS > 0:
+		return time.UnixMilli(m.WallMS).UTC().Format(time.RFC3339)
+	case m.Rev == 0:
+		return "an unknown time"
+	}
+	return fmt.Sprintf("revision %d", m.Rev)
+}
+
 type fleetConfigHaltCmd struct {
 	registryAt
 	Why string `help:"What others are to read." default:"by staff"`
--- a/internal/agree/trial/trial.go
+++ b/internal/agree/trial/trial.go
@@ -38,7 +38,9 @@
 	Beside func(at []string, dir string) []string
 	// Node is a command in the place of the first node of a trial of settings, with the same environment.
 	Node []string
-	Dead []string // units that are killed before the release, long enough for all to know, and stay so for the run
+	// Again: the first node of a trial of settings is killed once the first version is in force, and started again.
+	Again bool
+	Dead  []string // units that are killed before the release, long enough for all to know, and stay so for the run
 }
 
 // Result is what came of a run.
@@ -127,6 +129,9 @@
 	res      *Result
 	record   *record
 	undo     sync.WaitGroup
+
+	dead      string // the node that was killed for good; "": none
+	zonesLost int
 }
 
 // Bounds of the waits.
@@ -426,6 +431,13 @@
 		})
 	}
 	note := func(what string) { s.record.note(host.Event{At: host.Now(), What: what, Unit: p.name}) }
+	afterFault := func(do func()) {
+		note("fault")
+		after(func() {
+			do()
+			note("fault over")
+		})
+	}
 	registry := func(do, undo func()) {
 		s.record.note(host.Event{At: host.Now(), What: "registry"})
 		do()
@@ -439,10 +451,10 @@
 		p.off = true
 		note("killed")
 		p.Kill()
-		after(func() { p.Start() }) // one that cannot start shows in what follows
+		afterFault(func() { p.Start() }) // one that cannot start shows in what follows
 	case "stop":
 		p.Signal(syscall.SIGSTOP)
-		after(func() { p.Signal(syscall.SIGCONT) })
+		afterFault(func() { p.Signal(syscall.SIGCONT) })
 	case "cut", "one-way":
 		e := &relay.Effect{Silent: true, There: true, Back: kind == "cut"}
 		for _, l := range p.links {
@@ -450,7 +462,7 @@
 				return err
 			}
 		}
-		after(func() {
+		afterFault(func() {
 			for _, l := range p.links {
 				l.Remove(e) // it only lifts the silence
 			}
@@ -492,6 +504,9 @@
 func (s *site) heal() error {
 	s.cluster.Heal()
 	for _, p := range append(s.units, s.controls...) {
+		if p.name == s.dead {
+			continue
+		}
 		if err := p.Start(); err != nil {
 			return err
 		}
