--- a/internal/agree/host/host.go
+++ b/internal/agree/host/host.go
@@ -37,6 +37,7 @@
 	Token   int64         `json:"token,omitempty"`
 	Sent    time.Duration `json:"sent_ns,omitempty"` // when the write was sent that allowed it
 	Why     string        `json:"why,omitempty"`
+	Span    time.Duration `json:"span_ns,omitempty"` // the longest between renewals of a lease, as far as that matters
 }
 
 // Now is the machine's monotonic clock.
--- a/internal/agree/trial/judge_test.go
+++ b/internal/agree/trial/judge_test.go
@@ -117,6 +117,7 @@
 		"back with less than was in force": {events: join(agreed, act(ev(3, "n0", "runs", "1", "x"), ev(4, "n0", "fault", "", ""), force(5, "2"), ev(6, "n0", "fault over", "", ""),
 			ev(6.1, "n0", "out of touch", "1", "x"), touch(6.2, "n0", 10, "1", "x"))), early: 1},
 		"called dead and alive":           {events: join(agreed, []host.Event{ev(9, "n0", "out of touch", "0", "-"), touch(9.2, "n0", 10, "0", "-")}), out: 1},
+		"called dead and held up":         {events: join(agreed, []host.Event{{At: 9 * time.Second, Who: "n0", Unit: "n0", What: "out of touch", Version: "0", Span: 500 * time.Millisecond}})},
 		"called dead after a cut":         {events: join(agreed, []host.Event{ev(6, "n0", "fault", "", ""), ev(8, "n0", "fault over", "", ""), ev(9, "n0", "out of touch", "0", "-")})},
 		"called dead by a shaky registry": {events: join(agreed, []host.Event{ev(5, "", "registry", "", ""), ev(6, "", "registry over", "", ""), ev(9, "n0", "out of touch", "0", "-")})},
 	} {
--- a/internal/node/agreed.go
+++ b/internal/node/agreed.go
@@ -240,6 +240,7 @@
 func (f *follower) note(c *state.NodeConfig, rev int64) {
 	is := c.Node.InTouch() && c.Node.Known && c.Node.Running == f.running.Number && f.reported > 0 && rev >= f.reported
 	if is && !f.inTouch {
+		f.span()
 		f.say(fmt.Sprintf("in touch by start %d with", c.Node.Start), f.running)
 		select {
 		case <-f.caughtUp:
@@ -248,11 +249,19 @@
 		}
 	}
 	if f.inTouch && !c.Node.InTouch() {
-		f.say(fmt.Sprintf("out of touch by start %d with", c.Node.Start), f.running)
+		f.say(fmt.Sprintf("out of touch by start %d, renewed within %d ms, with", c.Node.Start, f.span().Milliseconds()), f.running)
 	}
 	f.inTouch = is || f.inTouch && c.Node.InTouch()
 }
 
+// span is the longest time between renewals of this node's lease since it was last asked for; 0: an agent renews it.
+func (f *follower) span() time.Duration {
+	if f.holder == nil {
+		return 0
+	}
+	return f.holder.Span()
+}
+
 // awaitCaughtUp waits until this start of the node is in touch, so that it never serves by what was in force before it; false:
 // ctx ended first. While the registry is away that lasts as long as it is.
 func (n *Node) awaitCaughtUp(ctx context.Context) bool {
--- a/internal/registry/client/client.go
+++ b/internal/registry/client/client.go
@@ -346,6 +346,8 @@
 	mu     sync.Mutex
 	held   map[string]*state.Entry
 	tokens map[string]int64
+	sent   time.Time     // when the last renewal was sent that was answered
+	span   time.Duration // see Span
 }
 
 // NewHolder returns a Holder of nothing.
@@ -409,11 +411,16 @@
 	var got struct {
 		Unknown []string `json:"unknown"`
 	}
+	sent := time.Now()
 	if err := h.w.Call(ctx, http.MethodPost, "/registry/renew", map[string]any{"leases": all}, &got); err != nil {
 		return err
 	}
 	var again []*state.Entry
 	h.mu.Lock()
+	if !h.sent.IsZero() {
+		h.span = max(h.span, time.Since(h.sent))
+	}
+	h.sent = sent
 	for _, uid := range got.Unknown {
 		if e := h.held[uid]; e != nil {
 			again = append(again, e)
@@ -426,6 +433,19 @@
 	return h.Hold(ctx, again...)
 }
 
+// Span is the longest time, since it was last asked for, from sending one renewal to the answer to the next, or to now. A registry
+// that ended a lease of a longer time than that, less the time between its looks, has erred.
+func (h *Holder) Span() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	span := h.span
+	if !h.sent.IsZero() {
+		span = max(span, time.Since(h.sent))
+	}
+	h.span = 0
+	return span
+}
+
 // Run renews every now and then until ctx ends: about each third of ttl, by chance sooner or later so that many holders
 // do not call together.
 func (h *Holder) Run(ctx context.Context, ttl time.Duration) {
