--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -473,3 +473,59 @@
 		t.Errorf("answers brought trust back to %v only", u.trust())
 	}
 }
+
+// A request that may be repeated uses a connection that is seen alive though servers are distrusted, and none that its server has
+// closed or that has stood idle for too long by the settings; the sweep leaves it such a connection.
+func TestRepeatableUsesIdleDespiteDistrust(t *testing.T) {
+	t.Parallel()
+	var dials atomic.Int64
+	ended := make(chan struct{})
+	addr := listen(t, func(c net.Conn, r *bufio.Reader) {
+		dials.Add(1)
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			io.WriteString(c, ok)
+			if req.URL.Path == "/last" {
+				c.Close()
+				close(ended)
+				return
+			}
+		}
+	})
+	u, s := newTestUpstream(10), newServer(addr)
+	u.distrust(time.Microsecond)
+	rested := func(d time.Duration) { // the connection has stood idle for d
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		for _, c := range u.idle[s] {
+			c.since = time.Now().Add(-d)
+		}
+	}
+	send := func(path string, want int64, why string) {
+		t.Helper()
+		r, err := http.NewRequest(http.MethodGet, path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if res := u.attempt(context.Background(), s, call{request: r, begin: yes}); res.ending != hollyspur.Success {
+			t.Fatalf("%s ended with %d", path, res.ending)
+		}
+		if n := dials.Load(); n != want {
+			t.Errorf("%d connections, want %d: %s", n, want, why)
+		}
+	}
+	send("/order/1", 1, "there was none")
+	rested(u.idleFor / 2)
+	if u.trust() >= u.idleFor/2 {
+		t.Fatalf("trust is %v, so nothing is shown", u.trust())
+	}
+	u.sweepStale()
+	send("/order/2", 1, "it was alive")
+	rested(u.idleFor)
+	send("/last", 2, "it had stood idle for too long")
+	<-ended
+	send("/order/3", 3, "its server had closed it")
+}
