A restored backup does not bring back who led when it was taken

Change: the controllers' entries of the running State go on in a restore, the backup's are left out. Test: TestRestoredLead, -race -count=20: pass; without the change it fails.

--- a/internal/registry/state/agree_test.go
+++ b/internal/registry/state/agree_test.go
@@ -212,6 +212,56 @@
 	})
 }
 
+// A backup in the running State's place does not bring back who led when it was taken: not its fences, whoever leads now.
+func TestRestoredLead(t *testing.T) {
+	lead := func(s *State, boot float64) *Fence {
+		a, _ := s.Apply(Op{Kind: Register, Entry: &Entry{UID: "controller", Endpoint: "c", State: Serving, Role: Controller, BootMS: boot, TTLMS: 1000}})
+		return &Fence{"controller", a.Token}
+	}
+	s := New()
+	old := lead(s, 1)
+	text, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Apply(Op{Kind: Expire, UID: "controller", Token: old.Token})
+	for _, name := range []string{"nobody", "another"} {
+		running := s.clone(t)
+		var now *Fence
+		if name == "another" {
+			now = lead(running, 2)
+		}
+		backup, err := Load(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := Restored(backup, running)
+		if a, _ := r.Apply(Op{Kind: Nothing, Fence: old}); a.Fault != Fenced {
+			t.Errorf("%s leads: the one before acts: %+v", name, a)
+		}
+		if now == nil {
+			continue
+		}
+		if a, _ := r.Apply(Op{Kind: Nothing, Fence: now}); a.Fault != "" {
+			t.Errorf("%s leads, and does no more: %+v", name, a)
+		}
+	}
+}
+
+// clone is a State read from another's snapshot.
+func (s *State) clone(t *testing.T) *State {
+	t.Helper()
+	text, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := Load(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
 // fleet is a State with nodes that have said what they run: n0, n2 in zone a, n1, n3 in zone b, and so on.
 func fleet(t *testing.T, nodes int) *State {
 	t.Helper()
--- a/internal/registry/state/state.go
+++ b/internal/registry/state/state.go
@@ -379,6 +379,13 @@
 	epoch := max(Epoch(backup.rev), Epoch(running.rev)) + 1
 	s := New()
 	s.rev, s.entries, s.members = epoch<<epochShift, maps.Clone(backup.entries), maps.Clone(running.members)
+	// Who leads now goes on leading: with the backup's entry whoever led then would, and its fences would hold again.
+	maps.DeleteFunc(s.entries, func(_ string, e *Entry) bool { return e.Role == Controller })
+	for uid, e := range running.entries {
+		if e.Role == Controller {
+			s.entries[uid] = e
+		}
+	}
 	s.restored(backup, running)
 	return s
 }
