--- a/cmd/umberbank/main_test.go
+++ b/cmd/umberbank/main_test.go
@@ -74,6 +74,8 @@
 		{[]string{"lab", "cost", "--rate=-1"}, couldNot, "", "rate: -1 is no number"},
 		{[]string{"lab", "cost", "--servers", "31,0"}, couldNot, "", "--servers: 0 is not"},
 		{[]string{"lab", "cost", "--servers", "31,5000"}, couldNot, "", "servers: 5000 is not from 1 to 4096"},
+		{[]string{"lab", "scale", "--check", good}, couldNot, "", "good.toml: there is no table of roles"},
+		{[]string{"lab", "scale", "--check", "../../docs/CAPACITY.md"}, held, "follow from its slopes", ""},
 		{[]string{"lab", "scale", "--nodes", "0"}, couldNot, "", "nodes: 0 is not from 7"},
 		{[]string{"lab", "scale", "--nodes", "10001"}, couldNot, "", "10001 is not from 7"},
 		{[]string{"lab", "scale", "--plays", "0"}, couldNot, "", "plays: 0 is not from 1 to 20"},
--- a/cmd/umberbank/scale.go
+++ b/cmd/umberbank/scale.go
@@ -13,6 +13,7 @@
 	Nodes []int  `help:"Sizes, rising." default:"115,230,460,920" placeholder:"N,N,..."`
 	Plays int    `help:"Plays of each size." default:"3"`
 	Plot  string `help:"Draw times over sizes (SVG)." placeholder:"FILE"`
+	Check string `help:"Run nothing: say whether this page's figures follow from its own slopes, as those of docs/CAPACITY.md are to." placeholder:"FILE"`
 	JSON  bool   `help:"Print one JSON object: the largest size's figures at its top, all sizes, slopes and plays below."`
 }
 
@@ -25,10 +26,22 @@
 
 Examples:
   umberbank lab scale --json --plot scale.svg
-  umberbank lab scale --nodes 100,200 --plays 1`
+  umberbank lab scale --nodes 100,200 --plays 1
+  umberbank lab scale --check docs/CAPACITY.md`
 }
 
 func (c *labScaleCmd) Run(a *app) error {
+	if c.Check != "" {
+		text, err := os.ReadFile(c.Check)
+		if err != nil {
+			return err
+		}
+		if err := scale.CheckPage(text); err != nil {
+			return fmt.Errorf("%s: %w", c.Check, err)
+		}
+		_, err = fmt.Fprintf(a.out, "%s: its figures follow from its slopes\n", c.Check)
+		return err
+	}
 	opt := scale.Options{Nodes: c.Nodes, Plays: c.Plays, Pace: scale.DefaultPace(), Step: func(s string) { fmt.Fprintln(a.err, s) }}
 	var draw func(*scale.Result) error
 	if c.Plot != "" {
