A discovery that serves calls in turn is waited for, and not asked over and over

Ruled out: the questions alone. At fault: discovery.watch gave a new watch up after 0.25 s, right for an agent on the machine; where a service stands behind, what is given up is served all the same, and the next one waits behind it. askIfDue had up to eight questions out. Now a discovery that has refused a watch for its load is given all of the silence; where lists are asked for a watch has 1 s from the start, and one question is out at a time and rests after a failure. Test: TestDiscoveryInTurnIsWaitedFor: 5 watches and 12 questions without the change, 2 and none with it.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -87,6 +87,9 @@
 	// askPatience is how long one question may wait for its whole answer; askMost are out at once at the most.
 	askPatience = 2 * time.Second
 	askMost     = int(askPatience / askEvery)
+	// askRestMost is the longest rest between questions that fail, where discovery serves calls in turn: with the silence and
+	// one answer it stays under the 6 s.
+	askRestMost = time.Second
 )
 
 // firstByte is how long a new watch may take to answer, by how many before it never did. The agent answers at
@@ -94,6 +97,24 @@
 // begins with its first heartbeat; then it starts over.
 var firstByte = []time.Duration{250 * time.Millisecond, 500 * time.Millisecond, time.Second, silence}
 
+// firstByteInTurn is the same where lists are asked for: there discovery serves the calls of all nodes in turn. A watch that is
+// given up while it waits has still to be served, and the next one waits behind it, so that none is ever answered. Three
+// in a row still leave the 6 s.
+var firstByteInTurn = []time.Duration{time.Second, time.Second, time.Second, silence}
+
+// patience is how long the next watch may take to answer. One that has refused a call for its load is given all the time that
+// there is: it lives, and a call given up early would only add to the load.
+func (d *discovery) patience() time.Duration {
+	switch n := int(d.unheard.Load()); {
+	case d.busy.Load():
+		return d.silence
+	case d.inTurn.Load():
+		return firstByteInTurn[n%len(firstByteInTurn)]
+	default:
+		return firstByte[n%len(firstByte)]
+	}
+}
+
 // lineStall is how long a message that has begun may stand still: discovery writes one in one go. One that goes on
 // and on is given up after the silence, as no part of it is news.
 const lineStall = time.Second
@@ -107,6 +128,8 @@
 	silence time.Duration
 	stall   time.Duration
 	unheard atomic.Int32 // watches in a row that never answered
+	inTurn  atomic.Bool  // it serves all nodes' calls in turn
+	busy    atomic.Bool  // it has refused a watch for its load, and none has been answered since
 }
 
 func newDiscovery(addr string) *discovery {
@@ -156,7 +179,7 @@
 func (d *discovery) watch(ctx context.Context, since int64, opened, beat func(), news func(List)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	quiet := time.AfterFunc(firstByte[int(d.unheard.Load())%len(firstByte)], func() { cancel(errSilent) })
+	quiet := time.AfterFunc(d.patience(), func() { cancel(errSilent) })
 	defer quiet.Stop()
 
 	url := "http://" + d.addr + "/registry/instances?follow=1&since=" + strconv.FormatInt(since, 10)
@@ -174,6 +197,7 @@
 	d.unheard.Store(0)
 	quiet.Reset(d.silence)
 	defer resp.Body.Close()
+	d.busy.Store(resp.StatusCode == http.StatusServiceUnavailable)
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answers %s", resp.Status)
 	}
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -632,3 +632,53 @@
 		t.Errorf("after a watch that lasted it is %v", got)
 	}
 }
+
+// Where lists are asked for, discovery serves the calls of all nodes in turn. One that has refused a watch for its load is
+// waited for: the next watch is not given up while it stands in line, so there is one in line and not many; and no
+// question for the whole list goes out while another waits.
+func TestDiscoveryInTurnIsWaitedFor(t *testing.T) {
+	t.Parallel()
+	const line = 4 * time.Second / 3 // what standing in line takes; watches of an agent are given up long before
+	var watches, questions, together atomic.Int32
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if asksWhole(r) {
+			if questions.Add(1) > 1 {
+				together.Add(1)
+			}
+			<-r.Context().Done()
+			questions.Add(-1)
+			return
+		}
+		if watches.Add(1) == 1 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		select {
+		case <-time.After(line): // a fact of time, nothing is waited for
+			fmt.Fprintln(w, message(9, true, entry("a", "SERVING")))
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(s.CloseClientConnections)
+	cfg := testConfig(strings.TrimPrefix(s.URL, "http://"))
+	cfg.Settings.AskDiscovery = true
+	lists := make(chan hollyspur.ServerList, 10)
+	startNode(t, cfg, moduleFunc(func(e hollyspur.Event) []hollyspur.Action {
+		switch e := e.(type) {
+		case hollyspur.ServerList:
+			if e.Cached {
+				return []hollyspur.Action{hollyspur.Subscribe{}}
+			}
+			lists <- e
+		case hollyspur.ListFailed:
+			return []hollyspur.Action{hollyspur.Subscribe{}}
+		}
+		return nil
+	}))
+	wait(t, lists)
+	if n, q := watches.Load(), together.Load(); n != 2 || q > 0 {
+		t.Errorf("%d watches, %d questions beside another", n, q)
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"log"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -104,6 +105,7 @@
 	proven    time.Duration // clock time at which the list was surely current
 	asked     time.Duration // when discovery was last asked for the whole of it
 	asking    int           // such questions that are out
+	askRest   time.Duration // before the next one, where discovery serves calls in turn and the last have failed
 	doubting  *time.Timer   // the next look whether one is due; nil before the first watch
 	heard     bool          // what discovery's agent holds, since the start
 	told      chan struct{} // closed when heard is true
@@ -485,9 +487,13 @@
 // askIfDue asks for the whole list if nothing has proven for too long that the one that is held is current.
 func (l *loop) askIfDue() {
 	now := l.clock.now()
-	due := max(l.proven+silence, l.asked+askEvery)
+	most := askMost
+	if !l.pushed {
+		most = 1 // another in the same queue would come no sooner, and hold up everybody's
+	}
+	due := max(l.proven+silence, l.asked+max(askEvery, l.askRest))
 	if now >= due {
-		if l.asking < askMost {
+		if l.asking < most {
 			l.ask()
 		}
 		due = now + askEvery
@@ -504,6 +510,12 @@
 		list, err := disc.list(l.running)
 		l.post(func() {
 			l.asking--
+			if err != nil && !l.pushed {
+				l.askRest = min(max(askEvery, 2*l.askRest), askRestMost)
+				l.asked = l.clock.now() + time.Duration(rand.Int64N(int64(l.askRest))) - l.askRest/2
+			} else {
+				l.askRest = 0
+			}
 			switch {
 			case disc != l.discovery: // it has moved since
 			case err == nil:
@@ -569,6 +581,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l.stopWatch, l.watching = cancel, true
 	since, disc, begun := l.rev, l.discovery, l.clock.now()
+	disc.inTurn.Store(!l.pushed)
 	if l.doubting == nil {
 		l.doubt(begun + askEvery - silence)
 	}
