--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -354,14 +354,8 @@
 	return r.Method == http.MethodGet || r.Header.Get("Idempotency-Key") != ""
 }
 
-// get takes the idle connection used last, or dials. While servers are distrusted only requests that may be repeated come here.
-// Whether one that is seen alive breaks under its request is then a matter of the moment, as on a new one, and costs them an
-// attempt; a new one costs a handshake and the wait where it comes up late.
+// get takes the idle connection used last, or dials.
 func (u *upstream) get(ctx context.Context, s *server) (*conn, error) {
-	within := u.trust
-	if u.distrustful() {
-		within = u.keptFor
-	}
 	for {
 		c := u.takeIdle(s)
 		if c == nil {
@@ -369,7 +363,7 @@
 		}
 		c.idled = max(1, time.Since(c.since))
 		alive := c.alive()
-		if alive && c.idled < within() {
+		if alive && c.idled < u.trust() {
 			return c, nil
 		}
 		if !alive {
@@ -394,13 +388,6 @@
 	return newConn(nc), nil
 }
 
-// keptFor is how long a connection may stand idle and be used again.
-func (u *upstream) keptFor() time.Duration {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.idleFor
-}
-
 func (u *upstream) trust() time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -518,7 +505,7 @@
 // sweepStale closes idle connections that are too old or that their server has closed, lest they
 // hold descriptors until they would be used next.
 func (u *upstream) sweepStale() {
-	u.sweep(func(_ *server, c *conn) bool { return time.Since(c.since) >= u.idleFor || !c.alive() })
+	u.sweep(func(_ *server, c *conn) bool { return time.Since(c.since) >= u.trusted || !c.alive() })
 }
 
 // sweep closes the idle connections that drop names.
