Replica: Close ends by its own signal, and no wait for raft outlives it

Callers saw `registry serve` not exit after SIGTERM, and Replica.Close hang in tests.

Cause, from goroutine dumps of eight series: in six the leader loop waited in becomeLeader for a barrier that raft had taken into its queue while it ended, and never answered; in two raft had set Follower or Candidate after Shutdown, and the loop ended only at the state Shutdown.

Fix: Close closes a channel. The leader loop ends by it, and a new leader's barrier runs beside the loop, so the loop never waits for raft; renewals wait until it has its leases, as before. Writes, consistent reads and changes of members wait through Replica.wait, which the channel ends.

Looked for elsewhere: Apply of propose and LeadershipTransfer are not waited for; Shutdown waits for raft's own goroutines alone; GetConfiguration is answered at once; renew gets its reply from the loop, which no longer waits. No other place ends by raft's state.

--- a/internal/registry/replica/api_write.go
+++ b/internal/registry/replica/api_write.go
@@ -73,7 +73,7 @@
 }
 
 func (r *Replica) addMember(p *Peer) error {
-	if err := r.raft.AddVoter(raft.ServerID(p.ID), raft.ServerAddress(p.RaftAddress), 0, requestTimeout).Error(); err != nil {
+	if err := r.wait(r.raft.AddVoter(raft.ServerID(p.ID), raft.ServerAddress(p.RaftAddress), 0, requestTimeout)); err != nil {
 		return err
 	}
 	_, err := r.write(command{Ops: []state.Op{{Kind: state.OpSetMember, UID: p.ID, Address: p.ClientAddress}}})
@@ -84,7 +84,7 @@
 	if _, err := r.write(command{Ops: []state.Op{{Kind: state.OpSetMember, UID: id}}}); err != nil {
 		return err
 	}
-	return r.raft.RemoveServer(raft.ServerID(id), 0, requestTimeout).Error()
+	return r.wait(r.raft.RemoveServer(raft.ServerID(id), 0, requestTimeout))
 }
 
 // onLeader returns a handler that calls do with the body of the request if this replica leads, and otherwise forwards the
--- a/internal/registry/replica/leader.go
+++ b/internal/registry/replica/leader.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"time"
 
-	"github.com/hashicorp/raft"
-
 	"umberbank/internal/coordination/disruption"
 	"umberbank/internal/registry/api"
 	"umberbank/internal/registry/state"
@@ -23,12 +21,14 @@
 	lastCheck    time.Time
 	lastTransfer time.Time // when this replica last transferred leadership because of its disk
 
+	caughtUp <-chan error    // result of the barrier of a new leader; nil if none is pending
 	leases   *leaseTable     // nil while this replica does not lead
 	revision int64           // leases reflects the state at this revision
 	changed  <-chan struct{} // closed at the next change
 }
 
-// runLeaderLoop returns when raft has shut down or this replica has failed.
+// runLeaderLoop returns when Close is called or this replica has failed. It never waits for raft, whose state and unanswered
+// requests do not show that raft has shut down.
 func (r *Replica) runLeaderLoop() {
 	defer close(r.leaderDone)
 	now := time.Now()
@@ -37,25 +37,33 @@
 	ticker := time.NewTicker(leaderCheckInterval)
 	defer ticker.Stop()
 	for {
+		renewals := r.renewals
+		if l.caughtUp != nil {
+			renewals = nil // they wait until the new leader has its leases
+		}
 		select {
-		case leading, open := <-leadership:
-			if !open {
-				return
-			}
-			l.leases, l.changed = nil, nil
+		case <-r.closing:
+			return
+		case leading := <-leadership:
+			l.leases, l.changed, l.caughtUp = nil, nil, nil
 			if leading {
+				l.caughtUp = r.startBarrier()
+			}
+		case err := <-l.caughtUp:
+			l.caughtUp = nil
+			if err == nil {
 				l.becomeLeader()
 			}
 		case <-l.changed:
 			l.applyChanges()
 		case <-ticker.C:
-			if r.raft.State() == raft.Shutdown || !l.checkDisk() {
+			if !l.checkDisk() {
 				return
 			}
 			if l.leases != nil {
 				l.runLeaderChecks()
 			}
-		case request := <-r.renewals:
+		case request := <-renewals:
 			request.reply <- l.renewLeases(request.leases)
 		}
 	}
@@ -64,14 +72,9 @@
 // now returns the time on the lease clock.
 func (l *leaderLoop) now() time.Duration { return time.Since(l.started) }
 
-// becomeLeader creates the leases of a new leader after everything that was committed before has been applied.
+// becomeLeader creates the leases of a new leader. Everything that was committed before must have been applied.
 func (l *leaderLoop) becomeLeader() {
 	now := l.now()
-	if l.raft.Barrier(requestTimeout).Error() != nil {
-		// Leadership is lost, or raft did not accept the barrier within requestTimeout. Without leases, this replica rejects
-		// renewals until it becomes the leader again.
-		return
-	}
 	var instances []*state.Instance
 	var address string
 	l.fsm.read(func(s *state.State) {
--- a/internal/registry/replica/replica.go
+++ b/internal/registry/replica/replica.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,8 @@
 
 	serving    atomic.Bool
 	failed     chan error    // the reason is sent on it when this replica fails
+	closing    chan struct{} // closed by the first call of Close
+	closeOnce  sync.Once     // closes closing
 	leaderDone chan struct{} // closed when leaderLoop has returned
 }
 
@@ -48,6 +51,7 @@
 		forward:    &http.Client{Timeout: requestTimeout},
 		renewals:   make(chan renewRequest),
 		failed:     make(chan error, 1),
+		closing:    make(chan struct{}),
 		leaderDone: make(chan struct{}),
 	}
 	r.metrics = newMetrics(r)
@@ -110,6 +114,7 @@
 
 // Close stops the replica. Its data remains in the data directory.
 func (r *Replica) Close() error {
+	r.closeOnce.Do(func() { close(r.closing) })
 	r.http.Close()
 	r.watches.close()
 	err := r.raft.Shutdown().Error()
--- a/internal/registry/replica/write.go
+++ b/internal/registry/replica/write.go
@@ -36,7 +36,7 @@
 	}
 	start := time.Now()
 	future := r.raft.Apply(text, requestTimeout)
-	if err := future.Error(); err != nil {
+	if err := r.wait(future); err != nil {
 		if isNotLeader(err) {
 			return nil, fmt.Errorf("%w: %w", ErrNotLeader, err)
 		}
@@ -63,7 +63,7 @@
 	reply := make(chan renewReply, 1)
 	select {
 	case r.renewals <- renewRequest{leases, reply}:
-		result := <-reply
+		result := <-reply // leaderLoop replies without waiting for anything
 		return result.unknown, result.err
 	case <-ctx.Done():
 		return nil, ctx.Err()
@@ -75,7 +75,7 @@
 // catchUp waits until this replica has everything that was committed before the call. Only the leader can do this. Every error,
 // including a timeout, wraps ErrNotLeader.
 func (r *Replica) catchUp() error {
-	if err := r.raft.Barrier(requestTimeout).Error(); err != nil {
+	if err := r.wait(r.raft.Barrier(requestTimeout)); err != nil {
 		return fmt.Errorf("%w: %w", ErrNotLeader, err)
 	}
 	return nil
