Balancer: a Reject promises nothing that its client's retry can outlast

Callers could see a keyed request run twice: after an attempt that may have run, the node rejected (429 or 503 promise that a retry is harmless) at any time, also when the key's window was over.

Cause: rejectable checked effect and scope, not the time. The instant that counts is the client's next send, up to MaxRetryAfter after the Reject.

Fix: with a key of scope all, a Reject needs now + MaxRetryAfter inside the window of each attempt that may have run (two ticks less, as for the node's own retries); with MaxRetryAfter zero the pause is unknown and the request fails. The rule checker judged a Reject by scope alone; it now judges each attempt by the same instant, from the settings and its own record of sends.

Evidence: class with window 0.9 s, one attempt failing at 0.899, 1.0 and 1.3 s: Reject before, Fail now (TestIdempotencyWindowLimitsRejects, failed before).

--- a/balancer/helper_test.go
+++ b/balancer/helper_test.go
@@ -27,6 +27,16 @@
 	}
 }
 
+// settingsWithSharedKeys returns the test settings with another class, whose idempotency keys all endpoints share, and with clients
+// that retry at most 200 ms after a Reject.
+func settingsWithSharedKeys() Settings {
+	s := testSettings()
+	s.MaxRetryAfter = 200 * ms
+	s.Classes = append(s.Classes, Class{Name: "put", Effect: WithIdempotencyKey, IdempotencyScope: ScopeAll,
+		IdempotencyWindow: 900 * ms, LatencyObjective: 500 * ms, Deadline: 1500 * ms, PriorityWeight: 2})
+	return s
+}
+
 // newTestBalancer returns a Balancer without endpoints. Its settings are the test settings,
 // modified by change unless that is nil.
 func newTestBalancer(t testing.TB, change func(*Settings)) *Balancer {
--- a/balancer/random_test.go
+++ b/balancer/random_test.go
@@ -18,12 +18,16 @@
 	now       time.Duration
 	endpoints []Endpoint
 	active    []activeSendUntil
+	bodies    []activeSendUntil // attempts whose body is being sent, until its last byte
 	timers    []SetTimer
 	requests  []string        // IDs
 	done      map[string]bool // requests whose outcomes now have RequestDone set
 	log       []string        // every action
 }
 
+// maxBodyTime is the longest time from the first to the last byte of a streaming body.
+const maxBodyTime = time.Second
+
 // activeSendUntil is an attempt with the time at which it ends.
 type activeSendUntil struct {
 	activeSend
@@ -52,6 +56,7 @@
 	for step := range steps {
 		h.now += 2 * ms
 		h.fireTimers()
+		h.sendBodies()
 		h.endAttempts()
 		if step < steps*3/4 && h.random.IntN(3) == 0 {
 			h.sendRequest(fmt.Sprint("r", step))
@@ -90,16 +95,35 @@
 }
 
 // scheduleOutcome draws the time at which the attempt ends. One in eight attempts times out
-// regardless of its latency.
+// regardless of its latency. The last byte of a streaming body is sent before the attempt ends.
 func (h *randomHost) scheduleOutcome(s Send) {
+	r := h.b.requests[s.ID]
+	start := h.now
+	if r.bodyPending {
+		start += time.Duration(h.random.IntN(int(maxBodyTime)))
+		h.bodies = append(h.bodies, activeSendUntil{activeSend: activeSend{s, len(r.attempts) - 1}, at: start})
+	}
 	latency := time.Duration(h.random.ExpFloat64() * float64(120*ms))
-	a := activeSendUntil{activeSend: activeSend{s, len(h.b.requests[s.ID].attempts) - 1}, at: h.now + latency}
+	a := activeSendUntil{activeSend: activeSend{s, len(r.attempts) - 1}, at: start + latency}
 	if h.random.IntN(8) == 0 || latency > s.Timeout {
-		a.at, a.timesOut = h.now+s.Timeout, true
+		a.at, a.timesOut = start+s.Timeout, true
 	}
 	h.active = append(h.active, a)
 }
 
+// sendBodies passes on the last bytes of bodies that are due. Each sets the deadline of its request.
+func (h *randomHost) sendBodies() {
+	for k := 0; k < len(h.bodies); k++ {
+		body := h.bodies[k]
+		if body.at > h.now {
+			continue
+		}
+		h.bodies = slices.Delete(h.bodies, k, k+1)
+		k--
+		h.handle(RequestBodySent{ID: body.ID, Attempt: body.attempt, Deadline: h.now + body.Timeout})
+	}
+}
+
 // fireTimers fires the timers that are due, one in twenty of them twice.
 func (h *randomHost) fireTimers() {
 	for k := 0; k < len(h.timers); k++ {
@@ -153,7 +177,7 @@
 }
 
 func (h *randomHost) sendRequest(id string) {
-	class := []string{"get", "post", "pay", "unknown"}[h.random.IntN(4)]
+	class := []string{"get", "post", "pay", "put", "unknown"}[h.random.IntN(5)]
 	h.requests = append(h.requests, id)
 	timeout := time.Duration(1+h.random.IntN(1500)) * ms
 	h.handle(Request{ID: id, Class: class, Deadline: h.now + timeout})
@@ -199,7 +223,7 @@
 func TestRulesHoldOnRandomSequences(t *testing.T) {
 	for seed := uint64(1); seed <= 12; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			settings := testSettings()
+			settings := settingsWithSharedKeys()
 			settings.Tier = int(seed % 2)
 			settings.Hedging = seed%3 != 0
 			settings.PollDiscovery = seed%4 == 0
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -220,7 +220,7 @@
 	if len(r.attempts) == 0 {
 		b.queue.recordShed()
 	}
-	if r.rejectable() {
+	if b.rejectable(r) {
 		// RetryAfter is at most one tick. A client that waits longer retries when most of its
 		// objective has passed, and its late response uses capacity that other requests need. The
 		// load stays low without a long wait, because of the concurrency limit.
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -1,5 +1,7 @@
 package balancer
 
+import "time"
+
 const (
 	// retryTokensPerSuccess is the number of tokens that a success adds to the retry budget.
 	retryTokensPerSuccess = 0.15
@@ -72,11 +74,17 @@
 	case NonIdempotent:
 		return false
 	case WithIdempotencyKey:
-		return b.now < a.sentAt+c.IdempotencyWindow-2*b.settings.Tick
+		return b.beforeKeyExpires(a, b.now)
 	}
 	return true
 }
 
+// beforeKeyExpires reports whether endpoints still know the idempotency key of an attempt when they
+// receive an attempt that is sent at the given time.
+func (b *Balancer) beforeKeyExpires(a *attempt, sentAt time.Duration) bool {
+	return sentAt < a.sentAt+a.request.class.IdempotencyWindow-2*b.settings.Tick
+}
+
 // inScope reports whether an endpoint shares the idempotency keys of all endpoints that may have
 // executed the request.
 func (r *request) inScope(e *endpoint) bool {
@@ -107,17 +115,27 @@
 	return false
 }
 
-// rejectable reports whether a Reject may promise the client that a retry is safe. It does not check
-// the idempotency window.
-func (r *request) rejectable() bool {
+// rejectable reports whether a Reject may promise the client that a retry is safe.
+func (b *Balancer) rejectable(r *request) bool {
 	for _, a := range r.attempts {
-		if a.notExecuted {
-			continue
-		}
-		if r.class.Effect == NonIdempotent ||
-			r.class.Effect == WithIdempotencyKey && r.class.IdempotencyScope != ScopeAll {
+		if !a.notExecuted && !b.clientMayRepeat(a) {
 			return false
 		}
 	}
 	return true
 }
+
+// clientMayRepeat reports whether a client may repeat, at any endpoint, an attempt that may have been
+// executed. The client sends its retry up to MaxRetryAfter after the Reject, and all endpoints must
+// still know the idempotency key then. Without MaxRetryAfter the time of the retry is unknown.
+func (b *Balancer) clientMayRepeat(a *attempt) bool {
+	c := a.request.class
+	switch c.Effect {
+	case NonIdempotent:
+		return false
+	case WithIdempotencyKey:
+		latestRetry := b.now + b.settings.MaxRetryAfter
+		return c.IdempotencyScope == ScopeAll && b.settings.MaxRetryAfter > 0 && b.beforeKeyExpires(a, latestRetry)
+	}
+	return true
+}
--- a/balancer/retry_test.go
+++ b/balancer/retry_test.go
@@ -42,3 +42,34 @@
 		})
 	}
 }
+
+// A client can retry a rejected request until MaxRetryAfter has passed. A request that may have been executed is not
+// rejected if its key may have expired by then, or if the pause of the client is unknown.
+func TestIdempotencyWindowLimitsRejects(t *testing.T) {
+	for _, c := range []struct {
+		failedAt, maxRetryAfter time.Duration
+		rejected                bool
+	}{
+		{600 * ms, 200 * ms, true},
+		{700 * ms, 200 * ms, false},
+		{899 * ms, 200 * ms, false},
+		{1000 * ms, 200 * ms, false},
+		{1300 * ms, 200 * ms, false},
+		{300 * ms, 0, false},
+	} {
+		t.Run(fmt.Sprintf("%v of %v", c.failedAt, c.maxRetryAfter), func(t *testing.T) {
+			settings := settingsWithSharedKeys()
+			settings.MaxAttempts, settings.MaxRetryAfter = 1, c.maxRetryAfter
+			b, err := New(settings, 7)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Handle(0, EndpointUpdate{Full: true, Endpoints: testEndpoints(8)})
+			s := sendsOf(b.Handle(0, Request{ID: "k", Class: "put", Deadline: 1500 * ms}))[0]
+			actions := endFirstAttempt(b, c.failedAt, s, Failure)
+			if _, rejected := actions[0].(Reject); len(actions) != 1 || rejected != c.rejected {
+				t.Errorf("got %T%v, want a Reject: %v", actions[0], actions, c.rejected)
+			}
+		})
+	}
+}
--- a/balancer/rulechecker_test.go
+++ b/balancer/rulechecker_test.go
@@ -24,10 +24,11 @@
 }
 
 type checkedRequest struct {
-	class    Class
-	deadline time.Duration
-	done     bool
-	attempts []*checkedAttempt
+	class       Class
+	deadline    time.Duration
+	bodyPending bool // the deadline is not known before the last byte of the body is sent
+	done        bool
+	attempts    []*checkedAttempt
 }
 
 type checkedAttempt struct {
@@ -54,10 +55,17 @@
 	return !a.ended || (a.result != Overloaded && a.result != Unreachable && a.result != NotSent)
 }
 
-// repeatable reports whether the request may be executed any number of times at any endpoint.
-func (r *checkedRequest) repeatable() bool {
-	return r.class.Effect == Idempotent ||
-		r.class.Effect == WithIdempotencyKey && r.class.IdempotencyScope == ScopeAll
+// mayRejectAfter reports whether a request may be rejected although one of its attempts may have been executed. The client
+// can retry until MaxRetryAfter has passed, and the retry must arrive while all endpoints know the idempotency key.
+func (c *ruleChecker) mayRejectAfter(now time.Duration, r *checkedRequest, a *checkedAttempt) bool {
+	switch r.class.Effect {
+	case Idempotent:
+		return true
+	case WithIdempotencyKey:
+		return r.class.IdempotencyScope == ScopeAll && c.settings.MaxRetryAfter > 0 &&
+			now+c.settings.MaxRetryAfter < a.sentAt+r.class.IdempotencyWindow
+	}
+	return false
 }
 
 func (c *ruleChecker) observeEvent(now time.Duration, event Event) {
@@ -66,8 +74,10 @@
 		c.observeUpdate(e)
 	case Request:
 		if c.requests[e.ID] == nil {
-			c.requests[e.ID] = &checkedRequest{class: c.classOf(e.Class), deadline: e.Deadline}
+			c.requests[e.ID] = &checkedRequest{class: c.classOf(e.Class), deadline: e.Deadline, bodyPending: e.StreamingBody}
 		}
+	case RequestBodySent:
+		c.observeBodySent(e)
 	case Outcome:
 		c.observeOutcome(e)
 	case ClientDisconnected:
@@ -76,13 +86,21 @@
 		}
 	}
 	for id, r := range c.requests {
-		if !r.done && now > r.deadline+c.slack {
+		if !r.done && !r.bodyPending && now > r.deadline+c.slack {
 			c.violation("rule 1: %s has no final response %v after its deadline", id, now-r.deadline)
 			r.done = true
 		}
 	}
 }
 
+func (c *ruleChecker) observeBodySent(e RequestBodySent) {
+	r := c.requests[e.ID]
+	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || r.attempts[e.Attempt].ended || !r.bodyPending {
+		return
+	}
+	r.bodyPending, r.deadline = false, e.Deadline
+}
+
 func (c *ruleChecker) observeUpdate(e EndpointUpdate) {
 	if e.Full {
 		for id, endpoint := range c.endpoints {
@@ -123,7 +141,7 @@
 		case Send:
 			c.observeSend(now, a)
 		case Reject:
-			c.observeReject(a)
+			c.observeReject(now, a)
 		case Fail:
 			c.observeFinalResponse(a.ID)
 		case Cancel:
@@ -132,13 +150,13 @@
 	}
 }
 
-func (c *ruleChecker) observeReject(a Reject) {
+func (c *ruleChecker) observeReject(now time.Duration, a Reject) {
 	r := c.observeFinalResponse(a.ID)
-	if r == nil || r.repeatable() {
+	if r == nil {
 		return
 	}
 	for _, attempt := range r.attempts {
-		if attempt.mayHaveExecuted() {
+		if attempt.mayHaveExecuted() && !c.mayRejectAfter(now, r, attempt) {
 			c.violation("rule 2: %s rejected although it may have been executed", a.ID)
 		}
 	}
@@ -222,12 +240,15 @@
 		{"although it is not idempotent", []any{update, request("pay"), send("a"), timedOut, send("a")}},
 		{"rule 2: r rejected", []any{update, request("pay"), send("a"), timedOut, Reject{ID: "r"}}},
 		{"outside its window", []any{update, request("post"), send("a"), 950 * ms, timedOut, send("a")}},
+		{"outside its window", []any{update, Request{ID: "r", Class: "post", Deadline: 1000 * ms, StreamingBody: true}, send("a"),
+			800 * ms, RequestBodySent{ID: "r", Deadline: 1800 * ms}, 1000 * ms, timedOut, send("a")}},
+		{"rule 2: r rejected", []any{update, request("put"), send("a"), 800 * ms, timedOut, Reject{ID: "r"}}},
 		{"outside its scope", []any{update, request("post"), send("a"), timedOut, send("b")}},
 		{"rule 3", []any{update, request("get"), send("c")}},
 		{"does not exist", []any{update, request("get"), Cancel{ID: "r", Attempt: 0}}},
 	} {
 		t.Run(c.want, func(t *testing.T) {
-			checker := newRuleChecker(testSettings())
+			checker := newRuleChecker(settingsWithSharedKeys())
 			var now time.Duration
 			for _, step := range c.steps {
 				switch s := step.(type) {
