Balancer: the window of an idempotency key starts at the Send, also for a streamed body

Callers saw a late failure in place of a retry that the node suppressed at its first byte; the decision itself was a second attempt after the key's window.

Cause: the window was counted from attempt.sentAt, which bodySent moves to the body's last byte, where latency begins. Fix: attempt.dispatchedAt keeps the time of the Send, and beforeKeyExpires uses it.

Evidence: TestIdempotencyWindowOfStreamingBody (window 0.9 s, last byte at 0.8, failure at 1.0) failed before with a Send at 1.0 s.

Looked for elsewhere: the node's firstSentAt is the time of the Send. The other uses of sentAt are latencies and the detection of silent servers, which begin at the last byte.

--- a/balancer/random_test.go
+++ b/balancer/random_test.go
@@ -180,7 +180,7 @@
 	class := []string{"get", "post", "pay", "put", "unknown"}[h.random.IntN(5)]
 	h.requests = append(h.requests, id)
 	timeout := time.Duration(1+h.random.IntN(1500)) * ms
-	h.handle(Request{ID: id, Class: class, Deadline: h.now + timeout})
+	h.handle(Request{ID: id, Class: class, Deadline: h.now + timeout, StreamingBody: h.random.IntN(6) == 0})
 }
 
 // changeEndpoint changes or restarts an endpoint and reports it in one of the ways in which
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -30,6 +30,7 @@
 	request         *request
 	endpoint        *endpoint
 	number          int
+	dispatchedAt    time.Duration // time of the Send, from which idempotency keys are known
 	sentAt          time.Duration // for a streaming body, the time of its last byte
 	zone            string        // of the endpoint at the time of sending
 	cell            int           // of the endpoint at the time of sending
@@ -75,12 +76,13 @@
 // send starts the next attempt of a request.
 func (b *Balancer) send(r *request, e *endpoint) {
 	a := &attempt{
-		request:  r,
-		endpoint: e,
-		number:   len(r.attempts),
-		sentAt:   b.now,
-		zone:     e.Zone,
-		cell:     e.Cell,
+		request:      r,
+		endpoint:     e,
+		number:       len(r.attempts),
+		dispatchedAt: b.now,
+		sentAt:       b.now,
+		zone:         e.Zone,
+		cell:         e.Cell,
 	}
 	if a.number == 0 {
 		b.queue.recordServed()
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -82,7 +82,7 @@
 // beforeKeyExpires reports whether endpoints still know the idempotency key of an attempt when they
 // receive an attempt that is sent at the given time.
 func (b *Balancer) beforeKeyExpires(a *attempt, sentAt time.Duration) bool {
-	return sentAt < a.sentAt+a.request.class.IdempotencyWindow-2*b.settings.Tick
+	return sentAt < a.dispatchedAt+a.request.class.IdempotencyWindow-2*b.settings.Tick
 }
 
 // inScope reports whether an endpoint shares the idempotency keys of all endpoints that may have
--- a/balancer/retry_test.go
+++ b/balancer/retry_test.go
@@ -73,3 +73,13 @@
 		})
 	}
 }
+
+// The window of an idempotency key starts at the first byte of an attempt, also if its body is streamed.
+func TestIdempotencyWindowOfStreamingBody(t *testing.T) {
+	b := newServingBalancer(t, 8, func(s *Settings) { *s = settingsWithSharedKeys() })
+	s := sendsOf(b.Handle(0, Request{ID: "k", Class: "put", Deadline: 1500 * ms, StreamingBody: true}))[0]
+	b.Handle(800*ms, RequestBodySent{ID: "k", Deadline: 2300 * ms})
+	if sends := sendsOf(endFirstAttempt(b, 1000*ms, s, Failure)); len(sends) > 0 {
+		t.Errorf("got %v 1 s after the first byte, with a window of 0.9 s", sends)
+	}
+}
