Node: a streamed request gets its fallback timer back when an attempt ends early

Callers could wait without an answer: a request with a streamed body whose attempt ended before the body's last byte had no fallback timer, so only the balancer's decision ended it.

Fix: after the balancer has handled the outcome, restartFallbackTimer starts it if the request is neither finished nor being sent.

Evidence: TestLongRequestWithoutBalancerDecision (refused connection, a balancer that ignores the outcome) timed out after 24 s on the code before, and gets 502 within its 0.5 s now; -race -count=3 passed.

Looked for elsewhere: bodySent is the only other place that stops or replaces the timer; a request that finishes stops it in markFinished.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -51,7 +51,10 @@
 	}
 	go func() {
 		result := l.pool.Attempt(ctx, e, call)
-		l.post(func() { l.handle(l.end(attempt, result)) })
+		l.post(func() {
+			l.handle(l.end(attempt, result))
+			l.restartFallbackTimer(r)
+		})
 	}()
 }
 
@@ -68,8 +71,8 @@
 }
 
 // newCall returns the upstream call of an attempt. deadline is the clock time at which the attempt times out. It is ignored
-// if the request has a streamed body. newCall stops the fallback timer of such a request, and bodySent sets its deadline and
-// starts the timer again.
+// if the request has a streamed body. newCall stops the fallback timer of such a request. bodySent sets its deadline and
+// starts the timer again, and restartFallbackTimer does if the attempt ends before that.
 func (l *loop) newCall(ctx context.Context, attempt *attempt, deadline time.Duration) upstream.Call {
 	r := attempt.request
 	call := upstream.Call{
--- a/internal/node/longrequest_test.go
+++ b/internal/node/longrequest_test.go
@@ -140,6 +140,36 @@
 	}
 }
 
+// A request whose attempt ends before the last byte of its streamed body gets a final response, although the balancer does not
+// complete it.
+func TestLongRequestWithoutBalancerDecision(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close() // the attempt cannot connect
+	n := startNode(t, testConfig("127.0.0.1:1", servingEntry("first", l.Addr().String())), balancerFunc(func(e balancer.Event) []balancer.Action {
+		if e, ok := e.(balancer.Request); ok {
+			return []balancer.Action{balancer.Send{ID: e.ID, Endpoint: "first"}}
+		}
+		return nil
+	}))
+	conn := nodetest.Dial(t, n.Addr().String())
+	body := nodetest.Text(4 << 20)
+	var wrote sync.WaitGroup
+	defer wrote.Wait()
+	wrote.Go(func() {
+		requestHead := head("POST", "/order/1", fmt.Sprintf("Content-Length: %d\r\n", len(body)))
+		io.WriteString(conn, strings.Replace(requestHead, "15000m", "500m", 1)+body)
+	})
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("got %+v, %v", resp, err)
+	}
+	conn.Close()
+}
+
 // firstThenSecond returns a balancer that sends to the endpoint "first", and then to "second" unless the body is consumed.
 // It fails requests without a streamed body.
 func firstThenSecond() balancerFunc {
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -94,6 +94,16 @@
 	})
 }
 
+// restartFallbackTimer starts the fallback timer of a request with a streamed body again after an attempt has ended, if the
+// balancer has neither completed the request nor sent another attempt.
+func (l *loop) restartFallbackTimer(r *request) {
+	if r.streamedBody == nil || r.finished.Load() || r.inFlight > 0 {
+		return
+	}
+	r.fallbackTimer.Stop()
+	l.startFallbackTimer(r)
+}
+
 // setDeadlines sets deadline and fallbackAt of a request whose timeLeft counts from now. The frontend calls it before
 // accept, and the loop for a streamed body.
 func (l *loop) setDeadlines(r *request) {
