Replica: a leader whose barrier failed tries again, and does not lead without leases

Callers would see renewals answered with "not the leader" and dead servers that stay in the list, until the leadership changes.

Cause: a new leader creates its leases after a barrier; when that failed while it still led (raft rejects one during a transfer of the leadership, or takes none within 5 s), nothing tried again, as raft reports only changes.

Fix: the loop starts another barrier at its next check (100 ms) while raft says that it leads; a change of the leadership drops both the barrier and the retry.

Looked for elsewhere: propose is not retried by itself, but every check computes the writes anew.

--- a/internal/registry/replica/leader.go
+++ b/internal/registry/replica/leader.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/hashicorp/raft"
+
 	"umberbank/internal/coordination/disruption"
 	"umberbank/internal/registry/api"
 	"umberbank/internal/registry/state"
@@ -22,6 +24,7 @@
 	lastTransfer time.Time // when this replica last transferred leadership because of its disk
 
 	caughtUp <-chan error    // result of the barrier of a new leader; nil if none is pending
+	retry    bool            // the barrier of a new leader has failed
 	leases   *leaseTable     // nil while this replica does not lead
 	revision int64           // leases reflects the state at this revision
 	changed  <-chan struct{} // closed at the next change
@@ -45,21 +48,19 @@
 		case <-r.closing:
 			return
 		case leading := <-leadership:
-			l.leases, l.changed, l.caughtUp = nil, nil, nil
+			l.leases, l.changed, l.caughtUp, l.retry = nil, nil, nil, false
 			if leading {
 				l.caughtUp = r.startBarrier()
 			}
 		case err := <-l.caughtUp:
-			l.caughtUp = nil
-			if err == nil {
-				l.becomeLeader()
-			}
+			l.barrierDone(err)
 		case <-l.changed:
 			l.applyChanges()
 		case <-ticker.C:
 			if !l.checkDisk() {
 				return
 			}
+			l.retryBarrier()
 			if l.leases != nil {
 				l.runLeaderChecks()
 			}
@@ -72,6 +73,23 @@
 // now returns the time on the lease clock.
 func (l *leaderLoop) now() time.Duration { return time.Since(l.started) }
 
+// barrierDone handles the result of the barrier of a new leader.
+func (l *leaderLoop) barrierDone(err error) {
+	l.caughtUp = nil
+	if l.retry = err != nil; !l.retry {
+		l.becomeLeader()
+	}
+}
+
+// retryBarrier starts another barrier if the last one failed and this replica still leads. Raft rejects a barrier during a
+// transfer of the leadership, for example, which may then not take place.
+func (l *leaderLoop) retryBarrier() {
+	if l.retry && l.raft.State() == raft.Leader {
+		l.retry = false
+		l.caughtUp = l.startBarrier()
+	}
+}
+
 // becomeLeader creates the leases of a new leader. Everything that was committed before must have been applied.
 func (l *leaderLoop) becomeLeader() {
 	now := l.now()
