Registry client: an empty list is cached as one

Callers that restarted after their list had become empty began with an older list, or with none, and sent to servers that were gone.

Cause: the sorted list of no instances is a nil slice, written as "targets":null, which loading rejects as an event without targets. Fix: fullListEvent never returns nil.

Evidence: TestCacheEmptyList loaded revision 0 in place of 7 on the code before, and passes now (-count=5).

Looked for elsewhere: the replica's encodeEvent already writes [] for no servers; events in the cache's log come from received events, which were checked for targets.

--- a/internal/registry/client/cache_test.go
+++ b/internal/registry/client/cache_test.go
@@ -133,3 +133,18 @@
 		})
 	}
 }
+
+// A list that has become empty is cached as an empty list. After a restart it replaces the servers that were removed.
+func TestCacheEmptyList(t *testing.T) {
+	cache := filepath.Join(t.TempDir(), "cache")
+	f := &fakeReplica{scripts: [][]string{{list(7, true) + "\n", "hang"}}}
+	opt := Options{Endpoints: []string{serve(t, f)}, CacheDir: cache, IdleTimeout: 50 * time.Millisecond}
+	follow(t, opt, func(v View) bool { return v.Revision == 7 })
+	w, err := NewWatcher(Options{Endpoints: []string{"127.0.0.1:1"}, CacheDir: cache})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if v := w.View(); v.Revision != 7 || len(v.Instances) != 0 {
+		t.Errorf("view after a restart: %+v, want the empty list of revision 7", v)
+	}
+}
--- a/internal/registry/client/watcher.go
+++ b/internal/registry/client/watcher.go
@@ -92,7 +92,11 @@
 
 // fullListEvent returns the list as an event. w.mu must be held.
 func (w *Watcher) fullListEvent() WatchEvent {
-	return WatchEvent{Revision: w.revision, FullList: true, Instances: w.sortedInstances()}
+	instances := w.sortedInstances()
+	if instances == nil {
+		instances = []*state.Instance{} // is encoded as [], because an event without a list is invalid
+	}
+	return WatchEvent{Revision: w.revision, FullList: true, Instances: instances}
 }
 
 // Run follows the registry until ctx is done, and returns the error of ctx. It calls changed with each event after the event
