Registry: null in a stored list is an error, and does not end the process

Callers of POST /registry/restore got a closed connection for a body with null in a list; a process that follows the registry ended when a watch event had one.

Cause: JSON decodes null in a list of pointers as nil; state.Load and Watcher.apply dereferenced it. Fix: state.Load names the key (entries, permits, missing, records, book.nodes) in its error, which a restore answers with 400; the watcher rejects the event, ends the watch and follows the next replica, and a cached list with null counts as damaged.

Evidence: TestLoadRejectsNull and TestWatcherRejectsNull panicked on the code before; -count=10 passed.

Limits and a pending version may be null and mean none.

--- a/internal/registry/client/cache.go
+++ b/internal/registry/client/cache.go
@@ -61,7 +61,7 @@
 		if err := json.Unmarshal(s.Payload, &event); err != nil {
 			return err
 		}
-		if !event.FullList || event.Instances == nil {
+		if !event.FullList || checkInstances(event) != nil {
 			return errNotFullList
 		}
 		apply(event)
@@ -73,7 +73,7 @@
 			if err := json.Unmarshal(record, &event); err != nil {
 				return err
 			}
-			if event.FullList || event.Instances == nil || !apply(event) {
+			if event.FullList || checkInstances(event) != nil || !apply(event) {
 				return errNotSuccessor
 			}
 			return nil
--- a/internal/registry/client/watcher.go
+++ b/internal/registry/client/watcher.go
@@ -28,6 +28,7 @@
 	errIdle          = errors.New("no data received within the idle timeout")
 	errOlderRevision = errors.New("event is not newer than the current list")
 	errNoInstances   = errors.New("event has no targets")
+	errNullInstance  = errors.New("event has a target that is null")
 )
 
 // Watcher maintains a copy of the registry's list of instances. It must be created by NewWatcher.
@@ -173,8 +174,8 @@
 	if err := json.Unmarshal(line, &event); err != nil {
 		return err
 	}
-	if event.Instances == nil {
-		return errNoInstances
+	if err := checkInstances(event); err != nil {
+		return err
 	}
 	if !w.apply(event) {
 		return errOlderRevision
@@ -184,6 +185,17 @@
 	return nil
 }
 
+// checkInstances returns an error if an event has no list of instances, or a list with null in it.
+func checkInstances(event WatchEvent) error {
+	switch {
+	case event.Instances == nil:
+		return errNoInstances
+	case slices.Contains(event.Instances, nil):
+		return errNullInstance
+	}
+	return nil
+}
+
 func (w *Watcher) recordContact() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/registry/client/watcher_test.go
+++ b/internal/registry/client/watcher_test.go
@@ -40,3 +40,14 @@
 	follow(t, Options{Endpoints: []string{strings.TrimPrefix(unreachable.URL, "http://"), serve(t, silent), serve(t, healthy)}, IdleTimeout: 50 * time.Millisecond},
 		func(v View) bool { return v.Revision == 5 })
 }
+
+// An event with null in its list ends the watch without an effect. The next replica is followed instead.
+func TestWatcherRejectsNull(t *testing.T) {
+	broken := &fakeReplica{scripts: [][]string{{`{"rev":7,"all":true,"targets":[null]}` + "\n", "hang"}}}
+	good := &fakeReplica{scripts: [][]string{{list(7, true, "a") + "\n", "hang"}}}
+	opt := Options{Endpoints: []string{serve(t, broken), serve(t, good)}, IdleTimeout: time.Second}
+	v := follow(t, opt, func(v View) bool { return v.Revision == 7 })
+	if got := uids(v); got != "a" {
+		t.Errorf("got the list %q, want a", got)
+	}
+}
--- a/internal/registry/state/snapshot.go
+++ b/internal/registry/state/snapshot.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
 
 	"umberbank/internal/coordination/disruption"
 	"umberbank/internal/coordination/rollout"
@@ -60,6 +61,9 @@
 	if err := json.Unmarshal(text, &stored); err != nil {
 		return nil, err
 	}
+	if key := stored.nullElement(); key != "" {
+		return nil, fmt.Errorf("%s: an element is null", key)
+	}
 	if Epoch(stored.Revision) < 1 || len(stored.ReplyIDs) != len(stored.Replies) {
 		return nil, errors.New("no snapshot of a registry")
 	}
@@ -79,6 +83,29 @@
 	return s, nil
 }
 
+// nullElement returns the key of a list or map with an element that is null, or an empty string if there is none. JSON decodes
+// such an element as a nil pointer.
+func (s *snapshot) nullElement() string {
+	switch {
+	case slices.Contains(s.Instances, nil):
+		return "entries"
+	case slices.Contains(s.Permits, nil):
+		return "permits"
+	case slices.Contains(s.Unreachable, nil):
+		return "missing"
+	case slices.Contains(s.Records, nil):
+		return "records"
+	}
+	if s.Rollout != nil {
+		for _, node := range s.Rollout.Nodes {
+			if node == nil {
+				return "book.nodes"
+			}
+		}
+	}
+	return ""
+}
+
 // loadCoordination loads stored into a State that already has its instances. The order matters: units are added after the
 // rollout is loaded, because adding a node also updates the rollout, and permits are restored after their units.
 func (s *State) loadCoordination(stored coordinationSnapshot) {
--- a/internal/registry/state/snapshot_test.go
+++ b/internal/registry/state/snapshot_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -172,3 +173,19 @@
 		}
 	})
 }
+
+// A stored state or a backup with null in a list is rejected, and does not end the process.
+func TestLoadRejectsNull(t *testing.T) {
+	for key, content := range map[string]string{
+		"entries":    `"entries":[null]`,
+		"permits":    `"permits":[null]`,
+		"missing":    `"missing":[null]`,
+		"records":    `"records":[null]`,
+		"book.nodes": `"book":{"nodes":{"n0":null}}`,
+	} {
+		s, err := Load(fmt.Appendf(nil, `{"rev":%d,%s}`, int64(1)<<epochShift, content))
+		if err == nil || !strings.Contains(err.Error(), key+":") {
+			t.Errorf("%s: got %v, %v, want an error with the key", key, s, err)
+		}
+	}
+}
