Node: in poll mode a full queue of discovery is waited for and given pauses

Watches were given up after 1 s and polls after 2 s while they were queued, and served all the same; each node had two streams of attempts, restarting at 0.25 s, nearly all rejected, and with them served calls were 0.36 to 0.66 s apart, so a rejection costs the service time too.

Fix, in poll mode alone: a 503 to a watch or poll is evidence of a full queue for 10 s. With it a queued call is awaited for 2.5 s, a rejected watch pauses 0.5 to 1.5 s, polls begin when the list is unconfirmed for 3.5 s, and no watch is opened beside a poll in the queue. Polls take up to 2.5 s there. Push mode is as before.

Tests: TestQueuedWatchIsAwaited and TestPauseAfterRejectedWatch failed before (4 watches for 1; the list after 2.6 ms for 1.5 s). -race -count=20 with TestSerializedDiscovery passed.

Looked for elsewhere: the registry's client goes to the next replica after a rejection, with a backoff.

--- a/internal/node/discovery/client.go
+++ b/internal/node/discovery/client.go
@@ -14,6 +14,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -28,6 +29,9 @@
 	// without a pause. A message that continues without a pause and never ends fails the watch after
 	// SilenceTimeout, because an incomplete message does not reset the timer of SilenceTimeout.
 	defaultLineTimeout = time.Second
+	// overloadMemory is how long a 503 shows that discovery is alive and has more requests than it can serve. Its requests wait
+	// in a queue, and a request that is given up is served all the same.
+	overloadMemory = 10 * time.Second
 )
 
 // responseTimeouts limit the time until the response to a new watch begins. The index is the number of
@@ -47,6 +51,7 @@
 var (
 	ErrSilent    = errors.New("silent for too long")
 	ErrMalformed = errors.New("malformed message")
+	ErrRejected  = errors.New("discovery answers 503 Service Unavailable")
 	errTruncated = errors.New("a line was cut short")
 )
 
@@ -62,6 +67,11 @@
 	unanswered atomic.Int32 // consecutive watches that had no response in time
 	serialized atomic.Bool  // discovery serves the requests of all nodes one at a time
 	overloaded atomic.Bool  // the last response to a watch was a 503
+	rejectedAt atomic.Int64 // when the last 503 arrived, in Unix nanoseconds; zero if there was none
+
+	mu       sync.Mutex
+	awaiting *time.Timer // ends the watch that awaits its response; nil if there is none
+	began    time.Time   // of that watch
 }
 
 // NewClient returns a client of discovery at addr.
@@ -78,12 +88,56 @@
 // lists are polled.
 func (c *Client) SetSerialized(serialized bool) { c.serialized.Store(serialized) }
 
+// QueueIsFull reports whether discovery serves requests one at a time and has rejected one within overloadMemory.
+func (c *Client) QueueIsFull() bool {
+	rejectedAt := c.rejectedAt.Load()
+	return c.serialized.Load() && rejectedAt != 0 && time.Since(time.Unix(0, rejectedAt)) < overloadMemory
+}
+
+// recordRejection records a 503. If discovery serves requests one at a time, a watch that awaits its response is in its queue,
+// and gets the longest timeout.
+func (c *Client) recordRejection() {
+	c.rejectedAt.Store(time.Now().UnixNano())
+	if !c.serialized.Load() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.awaiting != nil && c.awaiting.Stop() {
+		c.awaiting.Reset(c.SilenceTimeout - time.Since(c.began))
+	}
+}
+
+// beginAwaiting records the timer that ends a watch until its response begins.
+func (c *Client) beginAwaiting(timer *time.Timer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaiting, c.began = timer, time.Now()
+}
+
+// endAwaiting drops the timer of a watch whose response has begun or that has failed.
+func (c *Client) endAwaiting(timer *time.Timer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.awaiting == timer { // otherwise a later watch awaits its response
+		c.awaiting = nil
+	}
+}
+
+// fetchTimeout returns the time limit of one poll.
+func (c *Client) fetchTimeout() time.Duration {
+	if c.serialized.Load() {
+		return c.SilenceTimeout
+	}
+	return FetchTimeout
+}
+
 // responseTimeout returns the time within which the response to the next watch must begin. It is the
-// longest timeout if discovery has rejected the last watch because of its load: discovery is alive, and
+// longest timeout if discovery has rejected a request because of its load: discovery is alive, and
 // another request after a short timeout would only add to the load.
 func (c *Client) responseTimeout() time.Duration {
 	switch n := int(c.unanswered.Load()); {
-	case c.overloaded.Load():
+	case c.overloaded.Load(), c.QueueIsFull():
 		return c.SilenceTimeout
 	case c.serialized.Load():
 		return serializedResponseTimeouts[n%len(serializedResponseTimeouts)]
@@ -102,15 +156,20 @@
 }
 
 // Fetch fetches the complete list with one poll. The error wraps ErrMalformed if the response is not a
-// complete list, and is ErrSilent if the poll takes longer than FetchTimeout.
+// complete list, and is ErrSilent if the poll takes longer than FetchTimeout, or than SilenceTimeout if requests are
+// served one at a time.
 func (c *Client) Fetch(ctx context.Context) (Update, error) {
-	ctx, cancel := context.WithTimeoutCause(ctx, FetchTimeout, ErrSilent)
+	ctx, cancel := context.WithTimeoutCause(ctx, c.fetchTimeout(), ErrSilent)
 	defer cancel()
 	resp, err := c.get(ctx, "/registry/instances")
 	if err != nil {
 		return Update{}, causeOr(ctx, err)
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		c.recordRejection()
+		return Update{}, ErrRejected
+	}
 	if resp.StatusCode != http.StatusOK {
 		return Update{}, fmt.Errorf("discovery answers %s", resp.Status)
 	}
@@ -145,7 +204,9 @@
 	silence := time.AfterFunc(c.responseTimeout(), func() { cancel(ErrSilent) })
 	defer silence.Stop()
 
+	c.beginAwaiting(silence)
 	resp, err := c.get(ctx, "/registry/instances?follow=1&since="+strconv.FormatInt(revision, 10))
+	c.endAwaiting(silence)
 	if err != nil {
 		if err = causeOr(ctx, err); errors.Is(err, ErrSilent) {
 			c.unanswered.Add(1)
@@ -156,6 +217,10 @@
 	silence.Reset(c.SilenceTimeout)
 	defer resp.Body.Close()
 	c.overloaded.Store(resp.StatusCode == http.StatusServiceUnavailable)
+	if c.overloaded.Load() {
+		c.recordRejection()
+		return ErrRejected
+	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answers %s", resp.Status)
 	}
--- a/internal/node/silence_test.go
+++ b/internal/node/silence_test.go
@@ -292,7 +292,7 @@
 	t.Parallel()
 	const queueTime = 4 * time.Second / 3 // longer than every response timeout of a watch except the longest
 	var watches, polls, concurrentPolls atomic.Int32
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	lists := startPollingNode(t, func(w http.ResponseWriter, r *http.Request) {
 		if nodetest.IsPoll(r) {
 			if polls.Add(1) > 1 {
 				concurrentPolls.Add(1)
@@ -312,7 +312,73 @@
 			<-r.Context().Done()
 		case <-r.Context().Done():
 		}
-	}))
+	})
+	nodetest.Wait(t, lists)
+	if w, p := watches.Load(), concurrentPolls.Load(); w != 2 || p > 0 {
+		t.Errorf("got %d watches and %d concurrent polls, want 2 and 0", w, p)
+	}
+}
+
+// In poll mode, a poll that is rejected shows that the watch waits in discovery's queue. The watch is then not given up after
+// the shortest timeout: discovery would serve it all the same, and the next one would wait behind it.
+func TestQueuedWatchIsAwaited(t *testing.T) {
+	t.Parallel()
+	const queueTime = 3 * time.Second / 2 // longer than the timeout without evidence of a queue
+	var watches atomic.Int32
+	lists := startPollingNode(t, func(w http.ResponseWriter, r *http.Request) {
+		if nodetest.IsPoll(r) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		watches.Add(1)
+		select {
+		case <-time.After(queueTime): // the test needs the elapsed time, not an event
+			fmt.Fprintln(w, nodetest.Message(9, true, nodetest.Target("a", "SERVING")))
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		case <-r.Context().Done():
+		}
+	})
+	nodetest.Wait(t, lists)
+	if n := watches.Load(); n != 1 {
+		t.Errorf("got %d watches, want 1", n)
+	}
+}
+
+// In poll mode, rejections cost discovery time that the requests of other nodes need. A node pauses after each, and does not
+// poll meanwhile.
+func TestPauseAfterRejectedWatch(t *testing.T) {
+	t.Parallel()
+	const rejected = 3
+	var watches, polls atomic.Int32
+	began := time.Now()
+	lists := startPollingNode(t, func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case nodetest.IsPoll(r):
+			polls.Add(1)
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case watches.Add(1) <= rejected:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		default:
+			fmt.Fprintln(w, nodetest.Message(9, true, nodetest.Target("a", "SERVING")))
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}
+	})
+	nodetest.Wait(t, lists)
+	if elapsed, shortest := time.Since(began), rejected*rejectedRewatchDelay/2; elapsed < shortest {
+		t.Errorf("got the list after %v and %d rejected watches, want at least %v", elapsed, rejected, shortest)
+	}
+	if n, elapsed := polls.Load(), time.Since(began); n > 0 && elapsed < fullQueuePollAge-discovery.SilenceTimeout {
+		t.Errorf("got %d polls within %v", n, elapsed)
+	}
+}
+
+// startPollingNode starts a node in poll mode whose discovery is served by the handler, and whose balancer subscribes again at
+// once after a failure. It returns the lists that the node receives from discovery.
+func startPollingNode(t *testing.T, serve http.HandlerFunc) <-chan balancer.EndpointUpdate {
+	t.Helper()
+	s := httptest.NewServer(serve)
 	t.Cleanup(s.CloseClientConnections)
 	cfg := testConfig(strings.TrimPrefix(s.URL, "http://"))
 	cfg.Settings.PollDiscovery = true
@@ -329,8 +395,5 @@
 		}
 		return nil
 	}))
-	nodetest.Wait(t, lists)
-	if w, p := watches.Load(), concurrentPolls.Load(); w != 2 || p > 0 {
-		t.Errorf("got %d watches and %d concurrent polls, want 2 and 0", w, p)
-	}
+	return lists
 }
--- a/internal/node/watcher.go
+++ b/internal/node/watcher.go
@@ -24,8 +24,10 @@
 	// FetchTimeout. In poll mode the maximum is 1.
 	maxPolls = int(discovery.FetchTimeout / pollInterval)
 	// maxPollBackoff is the maximum of the delay after a failed poll in poll mode, before the jitter of up to half the delay.
-	// SilenceTimeout, the longest delay with its jitter (1.5 s) and one response within FetchTimeout take at most 6 s.
 	maxPollBackoff = time.Second
+	// fullQueuePollAge replaces SilenceTimeout in poll mode while discovery rejects requests. Rejected requests cost discovery time
+	// as well, and a watch brings the list too.
+	fullQueuePollAge = 3500 * time.Millisecond
 	// initialUpdateWait is how long the node waits for an update after the start of a watch's response. If none arrives, it
 	// assumes that discovery has no newer list.
 	initialUpdateWait = 20 * time.Millisecond
@@ -36,13 +38,18 @@
 const (
 	minRewatchDelay = 50 * time.Millisecond
 	maxRewatchDelay = time.Second
+	// rejectedRewatchDelay is the mean delay after a watch that was rejected in poll mode, with a jitter of half of it, so that
+	// the nodes of a fleet do not use up the capacity of discovery by requests that it rejects.
+	rejectedRewatchDelay = time.Second
 )
 
 // watcher follows the endpoint list of discovery for the event loop, with one watch at a time, and with polls while nothing
 // confirms that the list is current. It is part of the loop and runs on its goroutine.
 //
 // It has two modes. In push mode the node opens a watch by itself. In poll mode (Settings.PollDiscovery) the node opens a
-// watch when the balancer subscribes, and discovery serves the requests of all nodes one at a time.
+// watch when the balancer subscribes, and discovery serves the requests of all nodes one at a time. It may reject requests
+// while many wait, and rejections cost it time as well. In poll mode the node therefore has one request at a time in its
+// queue, does not give that up while it shows to be queued, and pauses after a rejection.
 type watcher struct {
 	loop   *loop
 	client *discovery.Client
@@ -60,6 +67,7 @@
 	stop         context.CancelFunc // ends the watch
 	watching     bool               // a watch has been opened; it is reopened if it ends
 	rewatchDelay time.Duration      // the last delay before a watch was reopened; see nextRewatchDelay
+	postponed    bool               // a watch is opened when the poll in flight has ended
 
 	confirmedAt time.Duration // clock time at which the list was last confirmed as current; see setConfirmedAt
 	polledAt    time.Duration // clock time from which the delay before the next poll counts; see setPollBackoff
@@ -140,6 +148,9 @@
 		limit = 1 // a second poll would wait behind the first in discovery's queue and delay all nodes
 	}
 	due := max(w.confirmedAt+discovery.SilenceTimeout, w.polledAt+max(pollInterval, w.pollBackoff))
+	if !w.pushMode && w.client.QueueIsFull() {
+		due = max(due, w.confirmedAt+fullQueuePollAge)
+	}
 	if now >= due {
 		if w.polls < limit {
 			w.poll()
@@ -159,6 +170,9 @@
 		w.loop.post(func() {
 			w.polls--
 			w.setPollBackoff(err)
+			if w.postponed {
+				w.subscribe()
+			}
 			switch {
 			case client != w.client: // the discovery address has changed since
 			case err == nil:
@@ -187,6 +201,10 @@
 	if w.usesRegistry {
 		return
 	}
+	w.postponed = !w.pushMode && w.polls > 0 && w.client.QueueIsFull() // the poll is in discovery's queue and gets the list first
+	if w.postponed {
+		return
+	}
 	w.stop()
 	ctx, cancel := context.WithCancel(context.Background())
 	w.stop, w.watching = cancel, true
@@ -230,12 +248,17 @@
 	if errors.Is(err, discovery.ErrMalformed) {
 		w.setConfirmedAt(min(w.confirmedAt, w.loop.now()-discovery.SilenceTimeout)) // a poll for the dropped update is due now
 	}
-	// In poll mode the balancer decides when to subscribe again, except after a silent watch.
-	if !w.pushMode && !errors.Is(err, discovery.ErrSilent) {
+	var delay time.Duration
+	switch {
+	case w.pushMode, errors.Is(err, discovery.ErrSilent):
+		delay = w.nextRewatchDelay(w.loop.now() - began)
+	case errors.Is(err, discovery.ErrRejected):
+		delay = rejectedRewatchDelay/2 + rand.N(rejectedRewatchDelay)
+	default: // the balancer decides when to subscribe again
 		w.loop.handle(balancer.SubscriptionFailed{})
 		return
 	}
-	w.loop.after(w.nextRewatchDelay(w.loop.now()-began), func() {
+	w.loop.after(delay, func() {
 		if ctx.Err() == nil { // otherwise another watch has been opened since
 			w.subscribe()
 		}
