Release: a unit that staff keep drained does not hold up its stage

Staff saw a release stop at a stage with a unit that they had drained: ten units, limit 0.2, s00 drained, none of the other nine was changed; s04 drained, s00 to s03 alone.

Cause: the staff permit's empty plan equals the empty RollsBack of a plan that rolls nothing back, so canRequest asked for that unit's permit first at every poll, and the rejection kept the writes behind it from being made. Fix: a begun permit is taken over only by a plan with a RollsBack. The step waits until the unit serves again.

Evidence: TestUnitDrainedByStaffDoesNotStallStage failed for both units on the code before; -race -count=100 passed. No write changes its form; replicas of two builds apply the same.

Looked for elsewhere: Budget.Grant compares plans in the same way, and its rule stays, since it is replicated; it rejects a release's request at a staff permit.

--- a/internal/coordination/release/release_test.go
+++ b/internal/coordination/release/release_test.go
@@ -200,3 +200,40 @@
 		t.Errorf("the rollback has not ended: %+v", s.view())
 	}
 }
+
+// A unit that staff keep drained does not hold up the other units of its stage. It is changed once it serves again.
+func TestUnitDrainedByStaffDoesNotStallStage(t *testing.T) {
+	for _, drained := range []string{"s00", "s04"} {
+		t.Run(drained, func(t *testing.T) {
+			s := newSite(10, 0.2)
+			s.storePlanFile(t, "name = \"p\"\nversion = \"v2\"\nbake = \"1s\"\nback_within = \"1h\"\n[[stage]]\ntier = \"web\"\nshare = 1.0\n")
+			s.Apply(state.Op{Kind: state.OpGrantPermit, UID: drained, Incarnation: s.Get(drained).Token, Holder: "staff"})
+			permit := s.Budget().Permit(drained)
+			s.Apply(state.Op{Kind: state.OpBeginPermit, UID: drained, Token: permit.Token})
+			scheduler := &Scheduler{Holder: "a"}
+			advance := func() {
+				for range 60 {
+					s.applyWrites(scheduler, 100)
+					for _, u := range s.Units() {
+						if s.Budget().Permit(u.UID) != permit {
+							s.runAgent(u.UID, true)
+							s.warmUp(u.UID)
+						}
+					}
+				}
+			}
+			advance()
+			for _, u := range s.Units() {
+				if (u.UID == drained) != (u.Version == "v1") {
+					t.Errorf("%s runs %s while staff keep %s drained", u.UID, u.Version, drained)
+				}
+			}
+			s.Apply(state.Op{Kind: state.OpUpdate, UID: drained, State: state.Serving})
+			permit = nil
+			advance()
+			if v := s.versions(); len(v) != 1 || v[0] != "v2" {
+				t.Errorf("after %s serves again, units run %v", drained, v)
+			}
+		})
+	}
+}
--- a/internal/coordination/release/scheduler.go
+++ b/internal/coordination/release/scheduler.go
@@ -154,14 +154,14 @@
 }
 
 // canRequest reports whether a permit can be requested for an unfinished step. Either the unit has no permit, is reachable and
-// runs another version, or its permit has begun and belongs to the release that this plan rolls back. If this plan rolls none
-// back, a begun permit that belongs to no release has the same effect.
+// runs another version, or its permit has begun and belongs to the release that this plan rolls back. A unit that staff have
+// drained has a permit that belongs to no release; its step waits until it serves again.
 func (r *planEvaluation) canRequest(step Step) bool {
 	permit := r.permits[step.Unit]
 	if permit == nil {
 		return r.units[step.Unit].Version != step.ToVersion && r.unavailable[step.Unit].Reason != disruption.ReasonUnreachable
 	}
-	return permit.Plan == r.plan.RollsBack && permit.Begun
+	return r.plan.RollsBack != "" && permit.Plan == r.plan.RollsBack && permit.Begun
 }
 
 // finishStage returns the write that ends the current stage, once its steps have been finished for the bake time.
