Replica: a new leader takes the channel of changes before it reads the state

Callers could register a server in the moment of an election and have its renewals answered as unknown, and the server stay listed after its death, until something else changed.

Cause: becomeLeader read the instances, then took the channel; a change in between was in neither. Fix: createLeases takes the channel first. A change that is in both is applied twice, which changes nothing.

Looked for elsewhere: applyChanges takes the next channel with the revision under one lock before it reads the state; the watch and waitForRevision do the same.

--- a/internal/registry/replica/interleave_test.go
+++ b/internal/registry/replica/interleave_test.go
@@ -323,3 +323,27 @@
 	}
 	modelcheck.CheckFails(t, modelcheck.Options{}, "is in sync and runs version 1", body("a", 1, true))
 }
+
+// A new leader creates its leases while a change is applied. The change is either in the leases, or followed at once.
+func TestInterleaveNewLeader(t *testing.T) {
+	body := func(readsBeforeChannel bool) func(x *modelcheck.Execution) {
+		return func(x *modelcheck.Execution) {
+			f, order := newFSM(), &modelcheck.Mutex{}
+			want := int64(1)<<40 + 1
+			x.Go("writer", func() { apply(f, order, registerUnit("a")) })
+			x.Go("leader", func() {
+				l := &leaderLoop{Replica: &Replica{fsm: f}}
+				l.createLeases()
+				if readsBeforeChannel { // the injected fault
+					_, l.changed = f.events.current()
+				}
+				for l.revision != want {
+					modelcheck.Wait(l.changed)
+					l.applyChanges()
+				}
+			})
+		}
+	}
+	modelcheck.Check(t, modelcheck.Options{}, body(false))
+	modelcheck.CheckFails(t, modelcheck.Options{}, "no thread can proceed: leader at wait for", body(true))
+}
--- a/internal/registry/replica/leader.go
+++ b/internal/registry/replica/leader.go
@@ -92,16 +92,21 @@
 
 // becomeLeader creates the leases of a new leader. Everything that was committed before must have been applied.
 func (l *leaderLoop) becomeLeader() {
-	now := l.now()
-	var instances []*state.Instance
+	l.createLeases()
 	var address string
-	l.fsm.read(func(s *state.State) {
-		instances, l.revision, address = s.Instances(), s.Revision(), s.Members()[l.cfg.ID]
-	})
+	l.fsm.read(func(s *state.State) { address = s.Members()[l.cfg.ID] })
 	if address != l.Addr() {
 		l.propose([]state.Op{{Kind: state.OpSetMember, UID: l.cfg.ID, Address: l.Addr()}})
 	}
+}
+
+// createLeases creates the leases of all instances. The channel is taken before the state is read, so that it reports every
+// change that the leases do not reflect.
+func (l *leaderLoop) createLeases() {
+	now := l.now()
 	_, l.changed = l.fsm.events.current()
+	var instances []*state.Instance
+	l.fsm.read(func(s *state.State) { instances, l.revision = s.Instances(), s.Revision() })
 	l.leases = newLeaseTable(l.cfg.Guard, instances, now)
 }
 
