Replica: a consistent watch at a follower goes on, and its lines arrive at once

Callers saw GET /registry/instances?follow=1&consistent=1 at a follower end after 5 s, with lines late before.

Cause: forwardToLeader used the client with a timeout for the whole response, and io.Copy into a ResponseWriter that holds back what fits its buffer. Fix: watches go through a client that limits only the time until the response begins, and each write is flushed.

--- a/internal/registry/replica/api_read.go
+++ b/internal/registry/replica/api_read.go
@@ -104,7 +104,7 @@
 		reply(w, nil, errBehind)
 		return
 	}
-	if query.Get("follow") != "" {
+	if isWatch(req) {
 		r.startWatch(w, since)
 		return
 	}
@@ -119,6 +119,9 @@
 	w.Write(text)
 }
 
+// isWatch reports whether a request for the list asks for a watch.
+func isWatch(req *http.Request) bool { return req.URL.Query().Get("follow") != "" }
+
 // parseRevisions returns the revisions in a query. A revision that is not given is zero.
 func parseRevisions(query url.Values) (since, minRevision int64, err error) {
 	for _, p := range []struct {
--- a/internal/registry/replica/forward.go
+++ b/internal/registry/replica/forward.go
@@ -9,8 +9,8 @@
 	"umberbank/internal/registry/state"
 )
 
-// forwardToLeader forwards a request to the leader, and the response to the client. It does not forward a request that
-// another replica has forwarded.
+// forwardToLeader forwards a request to the leader, and the response to the client as it arrives. It does not forward a request
+// that another replica has forwarded.
 func (r *Replica) forwardToLeader(w http.ResponseWriter, in *http.Request, body []byte) {
 	_, id := r.raft.LeaderWithID()
 	var address string
@@ -25,7 +25,11 @@
 		return
 	}
 	out.Header.Set(api.HeaderForwarded, r.cfg.ID)
-	resp, err := r.forward.Do(out)
+	client := r.forward
+	if isWatch(in) {
+		client = r.forwardWatch
+	}
+	resp, err := client.Do(out)
 	if err != nil {
 		reply(w, nil, err)
 		return
@@ -37,5 +41,29 @@
 		}
 	}
 	w.WriteHeader(resp.StatusCode)
-	io.Copy(w, resp.Body) //nolint:errcheck // a client that has disconnected needs no response
+	var to io.Writer = w
+	if isWatch(in) {
+		to = flushWriter{w, http.NewResponseController(w)}
+	}
+	io.Copy(to, resp.Body) //nolint:errcheck // a client that has disconnected needs no response
+}
+
+// newForwardWatchClient returns the client that forwards watches. Their responses do not end, so only their start is limited.
+func newForwardWatchClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{ResponseHeaderTimeout: requestTimeout}}
+}
+
+// flushWriter sends each write to the client at once.
+type flushWriter struct {
+	io.Writer
+	controller *http.ResponseController
+}
+
+// Write writes and flushes.
+func (w flushWriter) Write(p []byte) (int, error) {
+	n, err := w.Writer.Write(p)
+	if err != nil {
+		return n, err
+	}
+	return n, w.controller.Flush()
 }
--- a/internal/registry/replica/forward_test.go
+++ b/internal/registry/replica/forward_test.go
@@ -1,7 +1,9 @@
 package replica
 
 import (
+	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -132,3 +134,44 @@
 		apiRequest{"GET", "/registry/status", ""},
 		apiRequest{"GET", "/registry/backup", ""}))
 }
+
+// A consistent watch at a follower is forwarded to the leader. It goes on, and its lines arrive at once.
+func TestForwardedWatchContinues(t *testing.T) {
+	t.Parallel()
+	const heartbeats = 3 // they take longer than requestTimeout
+	pair := startPair(t)
+	for _, r := range pair {
+		t.Cleanup(func() { r.Close() })
+	}
+	follower := pair[0]
+	waitFor(t, "a follower that knows the leader's address", func() bool {
+		for i, r := range pair {
+			if leader := pair[1-i]; leader.raft.State() == raft.Leader && memberAddress(t, r, leader.cfg.ID) == leader.Addr() {
+				follower = r
+				return true
+			}
+		}
+		return false
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+follower.Addr()+"/registry/instances?follow=1&consistent=1&since=0", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	lines := bufio.NewReader(resp.Body)
+	for received := 0; received < heartbeats; {
+		line, err := lines.ReadString('\n')
+		if err != nil {
+			t.Fatalf("after %d heartbeats: %v", received, err)
+		}
+		if line == "\n" {
+			received++
+		}
+	}
+}
