Replica: a permit that has not begun expires also where no limits are set

Staff could be left with a unit counted as unavailable for good: after the restore of a backup without limits its permit neither began nor expired.

Cause: loadLimitsAndPermits returned before it read the permits where no limits are set. Only the leader decides this; nothing replicated changes.

Looked for elsewhere: warm-ups without limits end at the next check, as documented.

--- a/internal/registry/replica/leader.go
+++ b/internal/registry/replica/leader.go
@@ -155,18 +155,15 @@
 }
 
 // loadLimitsAndPermits copies the warm-up time and the permit timeout of the limits in force to l.leases. It returns copies of
-// the permits that have not begun, or none if no limits are set.
+// the permits that have not begun. There can be permits without limits, after the restore of a backup that has none.
 func (l *leaderLoop) loadLimitsAndPermits() (waiting []*disruption.Permit) {
+	l.leases.warmUpTime, l.leases.permitTimeout = 0, defaultPermitTimeout
 	l.fsm.read(func(s *state.State) {
-		limits := s.Limits()
-		if limits == nil {
-			l.leases.warmUpTime, l.leases.permitTimeout = 0, defaultPermitTimeout
-			return
-		}
-		l.leases.warmUpTime = time.Duration(limits.WarmUpMS) * time.Millisecond
-		l.leases.permitTimeout = time.Duration(limits.PermitExpiryMS) * time.Millisecond
-		if l.leases.permitTimeout == 0 {
-			l.leases.permitTimeout = defaultPermitTimeout
+		if limits := s.Limits(); limits != nil {
+			l.leases.warmUpTime = time.Duration(limits.WarmUpMS) * time.Millisecond
+			if limits.PermitExpiryMS != 0 {
+				l.leases.permitTimeout = time.Duration(limits.PermitExpiryMS) * time.Millisecond
+			}
 		}
 		for _, p := range s.Budget().Permits() {
 			if !p.Begun {
