Replica: waiting permits are extended by a suspension of the leader, as leases are

Agents could lose permits that they had no chance to begin: a leader suspended for longer than the permit timeout (2 s by default) gave back every waiting permit at its first check.

Cause: discountSuspension extended leases and warm-ups alone. Fix: it extends the waiting permits too. Only the leader decides this; nothing replicated changes.

Evidence: TestSuspensionExtendsPermits (10 s suspended, a timeout of 2 s) failed on the code before, and gets the return of the permit at 12 s now.

Looked for elsewhere: the check of the disk discounts suspensions already; trueFor of a release runs in the controller, whose own suspension is not discounted (the plan's timeouts are minutes).

--- a/internal/registry/replica/leases.go
+++ b/internal/registry/replica/leases.go
@@ -96,8 +96,8 @@
 	return ops
 }
 
-// discountSuspension extends leases and warm-ups by the time for which this process was suspended. No lease could be renewed
-// in that time, and it is unknown which instances tried to.
+// discountSuspension extends leases, warm-ups and waiting permits by the time for which this process was suspended. No lease
+// could be renewed and no permit could begin in that time, and it is unknown which instances tried to.
 func (t *leaseTable) discountSuspension(now time.Duration) {
 	gap := now - t.lastCheck
 	if gap <= suspendedAfter {
@@ -109,6 +109,10 @@
 	for _, w := range t.warmUps {
 		w.since += gap
 	}
+	for unit, p := range t.permits {
+		p.since += gap
+		t.permits[unit] = p
+	}
 }
 
 // scanLeases returns the writes that do not depend on the guard, the UIDs of expired leases, and the counts of leases by zone.
--- a/internal/registry/replica/leases_test.go
+++ b/internal/registry/replica/leases_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"umberbank/internal/coordination/disruption"
 	"umberbank/internal/registry/state"
 )
 
@@ -100,3 +101,27 @@
 		t.Error("lease not renewed with its token, or renewed with another token or UID")
 	}
 }
+
+// A permit whose agent could not begin it, because the leader was suspended, does not expire because of that time.
+func TestSuspensionExtendsPermits(t *testing.T) {
+	leases := newLeaseTable(ExpiryGuard{}, nil, 0)
+	leases.permitTimeout = 2 * time.Second
+	waiting := []*disruption.Permit{{Unit: "a", Token: 7}}
+	step := func(now time.Duration) []state.Op {
+		leases.check(now)
+		return leases.expirePermits(waiting, now)
+	}
+	for _, now := range []time.Duration{0, 10 * time.Second, 10100 * time.Millisecond} {
+		if ops := step(now); len(ops) > 0 {
+			t.Errorf("after %v, 10 s of it suspended: %+v", now, ops)
+		}
+	}
+	for now := 10200 * time.Millisecond; now < 12*time.Second; now += 100 * time.Millisecond {
+		if ops := step(now); len(ops) > 0 {
+			t.Errorf("after %v, 10 s of it suspended: %+v", now, ops)
+		}
+	}
+	if ops := step(12 * time.Second); len(ops) != 1 || ops[0].Kind != state.OpReturnPermit {
+		t.Errorf("got %+v after 2 s without the suspension, want the return of the permit", ops)
+	}
+}
