Umberbank command: a panic of a command is not exit code 0

Staff and scripts saw a command that had panicked end silently with exit code 0.

Cause: run called recover twice; the first took the panic, the second returned nil, and the zero code was returned. Fix: one recover, and every panic but kong's exit request is raised again, with its trace and code 2.

Looked for elsewhere: recover in the rest of the repository is in the model checker and in tests, one call each.

--- a/cmd/umberbank/main.go
+++ b/cmd/umberbank/main.go
@@ -68,14 +68,16 @@
 // exitRequest is the value with which kong's exit function panics, for example after --help. run recovers the panic.
 type exitRequest int
 
-// run parses the command line, runs the command and returns the exit code. It recovers every panic: it returns the value of an
-// exitRequest, and 0 for a panic with another value.
+// run parses the command line, runs the command and returns the exit code. It recovers a panic with an exitRequest, whose value
+// it returns, and no other.
 func run(ctx context.Context, args []string, stdout, stderr io.Writer) (code int) {
 	defer func() {
-		if e, ok := recover().(exitRequest); ok {
-			code = int(e)
-		} else if r := recover(); r != nil {
-			panic(r)
+		switch reason := recover().(type) {
+		case nil:
+		case exitRequest:
+			code = int(reason)
+		default:
+			panic(reason)
 		}
 	}()
 	var c cli
