Node configuration: of several invalid keys the error names the first, at every try

Staff who corrected a file saw another key named at each try.

Fix: both check their keys in a fixed order.

Evidence: TestFirstInvalidKeyIsNamed (two invalid endpoints, two invalid times, 50 tries) failed on the code before.

Looked for elsewhere: the settings are checked from a list; reload sorts the keys that it compares.

--- a/internal/node/config/config.go
+++ b/internal/node/config/config.go
@@ -162,11 +162,17 @@
 			return err
 		}
 	}
-	for key, endpoints := range map[string][]string{"registry": c.Registry.Endpoints, "agreed": c.Rollout.Endpoints} {
-		for i, addr := range endpoints {
-			if err := checkAddress(fmt.Sprintf("%s.endpoints[%d]", key, i), addr); err != nil {
-				return err
-			}
+	if err := checkEndpoints("registry", c.Registry.Endpoints); err != nil {
+		return err
+	}
+	return checkEndpoints("agreed", c.Rollout.Endpoints)
+}
+
+// checkEndpoints returns an error that names the first of the endpoints of a section that is not host:port.
+func checkEndpoints(section string, endpoints []string) error {
+	for i, addr := range endpoints {
+		if err := checkAddress(fmt.Sprintf("%s.endpoints[%d]", section, i), addr); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/internal/node/config/config_test.go
+++ b/internal/node/config/config_test.go
@@ -67,3 +67,17 @@
 		})
 	}
 }
+
+// With several invalid keys the error names the first one, at every try.
+func TestFirstInvalidKeyIsNamed(t *testing.T) {
+	c := Config{Listen: "127.0.0.1:1", Discovery: "127.0.0.1:1"}
+	c.Registry.Endpoints, c.Rollout.Endpoints = []string{"a"}, []string{"b"}
+	for range 50 {
+		if err := c.checkAddresses(); err == nil || !strings.HasPrefix(err.Error(), "registry.endpoints[0]:") {
+			t.Fatalf("got %v, want an error of registry.endpoints[0]", err)
+		}
+		if _, err := parseSnapshots([]byte(`{"dir":"d","every_ms":0,"max_age_ms":0}`)); err == nil || !strings.HasPrefix(err.Error(), "state.every_ms:") {
+			t.Fatalf("got %v, want an error of state.every_ms", err)
+		}
+	}
+}
--- a/internal/node/config/snapshots.go
+++ b/internal/node/config/snapshots.go
@@ -34,9 +34,12 @@
 			return Snapshots{}, fmt.Errorf("state: %w", err)
 		}
 	}
-	for key, v := range map[string]float64{"every_ms": state.Interval, "max_age_ms": state.MaxAge} {
-		if !(v >= 1 && v < math.MaxInt64/1e6) {
-			return Snapshots{}, fmt.Errorf("state.%s: %v is no time of a millisecond or more", key, v)
+	for _, d := range []struct {
+		key string
+		ms  float64
+	}{{"every_ms", state.Interval}, {"max_age_ms", state.MaxAge}} {
+		if !(d.ms >= 1 && d.ms < math.MaxInt64/1e6) {
+			return Snapshots{}, fmt.Errorf("state.%s: %v is no time of a millisecond or more", d.key, d.ms)
 		}
 	}
 	if state.Dir == "" {
