Release: it halts after 20 permits of one incarnation, as its reason says

Staff read "was given 20 permits" at a release that had given 21.

Cause: requestPermits halted at more than the maximum. Fix: at the maximum.

Evidence: TestHaltsAfterMaxPermits (every permit expires unused) counted 21 on the code before, 20 now.

Looked for elsewhere: MaxConcurrent and maxConcurrentPermits are compared with >= already.

--- a/internal/coordination/release/release_test.go
+++ b/internal/coordination/release/release_test.go
@@ -237,3 +237,22 @@
 		})
 	}
 }
+
+// A release halts once one incarnation of a unit has had the maximum number of permits, as the reason of the halt says.
+func TestHaltsAfterMaxPermits(t *testing.T) {
+	s := newSite(1, 1)
+	s.storePlanFile(t, "name = \"p\"\nversion = \"v2\"\nbake = \"1s\"\nback_within = \"1h\"\n[[stage]]\ntier = \"web\"\nshare = 1.0\n")
+	scheduler := &Scheduler{Holder: "a"}
+	granted := 0
+	for HaltReason(s.view(), "p") == "" && granted <= 2*maxPermitsPerIncarnation {
+		s.applyWrites(scheduler, 10)
+		if permit := s.Budget().Permit("s00"); permit != nil {
+			granted++
+			s.Apply(state.Op{Kind: state.OpReturnPermit, UID: "s00", Token: permit.Token}) // its agent has not begun it in time
+		}
+	}
+	want := fmt.Sprintf("s00 was given %d permits", granted)
+	if granted != maxPermitsPerIncarnation || !strings.Contains(HaltReason(s.view(), "p"), want) {
+		t.Errorf("halted after %d permits: %q, want %d", granted, HaltReason(s.view(), "p"), maxPermitsPerIncarnation)
+	}
+}
--- a/internal/coordination/release/scheduler.go
+++ b/internal/coordination/release/scheduler.go
@@ -28,7 +28,7 @@
 
 const (
 	// maxPermitsPerIncarnation limits the permits of one incarnation of a unit. A release halts, instead of requesting another
-	// permit, once it has been granted more than this number and the unit still runs another version. The permits have then
+	// permit, once it has been granted this number and the unit still runs another version. The permits have then
 	// ended because the unit was fully available again without a restart, or expired because its agent did not begin them.
 	maxPermitsPerIncarnation = 20
 	// maxConcurrentPermits limits the number of permits that a release holds at the same time if its plan sets no limit.
@@ -184,7 +184,7 @@
 			break
 		}
 		u := r.units[step.Unit]
-		if r.scheduler.grants[permitKey(r.plan.Name, step.Unit, u.Token)] > maxPermitsPerIncarnation {
+		if r.scheduler.grants[permitKey(r.plan.Name, step.Unit, u.Token)] >= maxPermitsPerIncarnation {
 			return r.halt(fmt.Sprintf("%s was given %d permits and still runs %q", step.Unit, maxPermitsPerIncarnation, u.Version))
 		}
 		r.heldPermits++
