Durable: a record over the size limit does not make the log fail

Cause: Append set logFailed after any error, also that of a record that it had not written. Fix: sizes are checked before the first write, and only an error of the disk fails the log.

Evidence: TestAppendAfterTooLongRecord got ErrLogFailed for the next record on the code before.

Looked for elsewhere: Save checks the size before it writes and leaves the log as it is.

--- a/internal/durable/log.go
+++ b/internal/durable/log.go
@@ -33,9 +33,9 @@
 	return filepath.Join(o.Dir, fmt.Sprintf("%s-%016x%s", o.Kind, seq, logSuffix))
 }
 
-// Append appends records to the log of the last saved snapshot. When it returns nil, all of them are durable. After an error,
-// some of them may be durable, and every call fails with ErrLogFailed until Save succeeds. Before the first successful Save,
-// Append fails with ErrNoSnapshot.
+// Append appends records to the log of the last saved snapshot. When it returns nil, all of them are durable. After an error
+// of the disk, some of them may be durable, and every call fails with ErrLogFailed until Save succeeds. A record over
+// Options.MaxPayload is an error that writes nothing. Before the first successful Save, Append fails with ErrNoSnapshot.
 func (s *Store) Append(records ...[]byte) (err error) {
 	switch {
 	case s.snapshotSeq == 0:
@@ -43,11 +43,11 @@
 	case s.logFailed:
 		return fmt.Errorf("%s: %w", s.opt.Dir, ErrLogFailed)
 	}
-	defer func() { s.logFailed = err != nil }()
 	size, err := s.encodedSize(records)
 	if err != nil {
 		return err
 	}
+	defer func() { s.logFailed = err != nil }()
 	isNew := s.log == nil
 	if isNew {
 		if s.log, err = s.opt.FS.Create(s.opt.logPath(s.snapshotSeq)); err != nil {
--- a/internal/durable/store_test.go
+++ b/internal/durable/store_test.go
@@ -248,3 +248,23 @@
 		t.Errorf("after a failed write: %v", err)
 	}
 }
+
+// A record over the limit is rejected without a write, so that the next record is appended.
+func TestAppendAfterTooLongRecord(t *testing.T) {
+	opt := options(faultfs.New())
+	opt.MaxPayload = len(payload(1))
+	s, err := durable.Open(opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if err := s.Save(payload(0), taken); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Append(make([]byte, opt.MaxPayload+1)); err == nil {
+		t.Error("a record over the limit was accepted")
+	}
+	if err := s.Append(payload(1)); err != nil {
+		t.Errorf("after a record over the limit: %v", err)
+	}
+}
