Durable: Open removes temporary files of its own kind alone

A store of the kind "list" removed the temporary files of a kind such as "list-old" in the same directory, which a running process may be writing.

Cause: removeTemporary compared the beginning of the name.

Evidence: TestOpenKeepsFilesOfOtherKinds lost the other kind's file on the code before.

--- a/internal/durable/store.go
+++ b/internal/durable/store.go
@@ -50,10 +50,11 @@
 	return s, nil
 }
 
-// removeTemporary removes temporary files. It ignores errors, because a file that remains only takes up space.
+// removeTemporary removes temporary files of this kind. It ignores errors, because a file that remains only takes up space.
 func (s *Store) removeTemporary(names []string) {
 	for _, name := range names {
-		if strings.HasPrefix(name, s.opt.Kind+"-") && strings.HasSuffix(name, temporarySuffix) {
+		snapshot, isTemporary := strings.CutSuffix(name, temporarySuffix)
+		if _, isKind := s.opt.parseSnapshotName(snapshot); isTemporary && isKind {
 			_ = s.opt.FS.Remove(filepath.Join(s.opt.Dir, name))
 		}
 	}
--- a/internal/durable/store_test.go
+++ b/internal/durable/store_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io/fs"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -268,3 +270,25 @@
 		t.Errorf("after a record over the limit: %v", err)
 	}
 }
+
+// Open removes the temporary files of its own kind, and not those of a kind whose name begins with it and a dash.
+func TestOpenKeepsFilesOfOtherKinds(t *testing.T) {
+	folder := t.TempDir()
+	own, other := filepath.Join(folder, "list-0000000000000007.state.tmp"), filepath.Join(folder, "list-old-0000000000000007.state.tmp")
+	for _, path := range []string{own, other} {
+		if err := os.WriteFile(path, nil, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s, err := durable.Open(durable.Options{Dir: folder, Kind: "list", Schema: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if _, err := os.Stat(own); !errors.Is(err, fs.ErrNotExist) {
+		t.Errorf("%s: %v, want it removed", own, err)
+	}
+	if _, err := os.Stat(other); err != nil {
+		t.Errorf("%s: %v, want it kept", other, err)
+	}
+}
