Replica: Close waits for the goroutines of its watches

A program that embeds a replica could find its watches running after Close, for up to 2 s, on the state of a replica that it had closed.

Cause: close ended their connections, and the goroutines noticed at the next event or heartbeat; nothing waited. Fix: the watches also end by the replica's closing channel, and Close waits for them.

--- a/internal/registry/replica/close_test.go
+++ b/internal/registry/replica/close_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"net/http"
 	"testing"
 	"time"
 
@@ -95,3 +96,21 @@
 		t.Fatal("the request still waits")
 	}
 }
+
+// The goroutines of watches have ended when Close returns, so that none reads the state of a closed replica.
+func TestCloseWaitsForWatches(t *testing.T) {
+	r := startLeader(t, t.TempDir())
+	const watches = 10
+	for range watches {
+		resp, err := http.Get("http://" + r.Addr() + "/registry/instances?follow=1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+	}
+	waitFor(t, "all watches", func() bool { return r.watches.len() == watches })
+	closeInTime(t, r)
+	if n := r.watches.len(); n > 0 {
+		t.Errorf("%d watches remain after Close", n)
+	}
+}
--- a/internal/registry/replica/replica.go
+++ b/internal/registry/replica/replica.go
@@ -114,13 +114,14 @@
 // Addr returns the host:port where clients connect.
 func (r *Replica) Addr() string { return r.listener.Addr().String() }
 
-// Close stops the replica. Its data remains in the data directory.
+// Close stops the replica and waits for raft, the leader loop and the watches. Its data remains in the data directory.
 func (r *Replica) Close() error {
 	r.closeOnce.Do(func() { close(r.closing) })
 	r.http.Close()
 	r.watches.close()
 	err := r.raft.Shutdown().Error()
 	<-r.leaderDone
+	r.watches.wait()
 	r.closeResources()
 	return err
 }
--- a/internal/registry/replica/watch.go
+++ b/internal/registry/replica/watch.go
@@ -73,6 +73,8 @@
 		}
 		select {
 		case <-missed.next:
+		case <-r.closing:
+			return
 		case <-heartbeat.C:
 			if r.staleness() > watchLeaderlessTime || !send(conn, []byte(watchHeartbeatFrame)) {
 				return
@@ -119,9 +121,11 @@
 	mu     sync.Mutex
 	open   map[net.Conn]struct{}
 	closed bool
+
+	running sync.WaitGroup // one for each open connection
 }
 
-// add adds the connection of a watch. It returns false if the set is closed.
+// add adds the connection of a watch, which must be removed later. It returns false if the set is closed.
 func (s *watchSet) add(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -132,6 +136,7 @@
 		s.open = map[net.Conn]struct{}{}
 	}
 	s.open[conn] = struct{}{}
+	s.running.Add(1)
 	return true
 }
 
@@ -141,6 +146,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.open, conn)
+	s.running.Done()
 }
 
 func (s *watchSet) len() int64 {
@@ -149,7 +155,11 @@
 	return int64(len(s.open))
 }
 
-// close closes the connections of all watches. Their goroutines return at the next event or heartbeat.
+// wait waits until all connections have been removed. The set must be closed.
+func (s *watchSet) wait() { s.running.Wait() }
+
+// close closes the connections of all watches. Their goroutines return at the next event or heartbeat, or when the replica is
+// closed.
 func (s *watchSet) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
