Release: a plan file that names a unit twice in a stage is rejected

Staff got a stage with two steps for that unit, and a count of steps that did not match the units.

Cause: pickNamed checked earlier stages and not the stage itself. Fix: a second name is an error in the form of the others, with the unit.

Evidence: TestPlanFileRejectsRepeatedUnit got no error on the code before.

Looked for elsewhere: shares never pick a unit twice, as picked ones are left out.

--- a/internal/coordination/release/planfile.go
+++ b/internal/coordination/release/planfile.go
@@ -171,6 +171,8 @@
 			return nil, fmt.Errorf("units: there is no unit %q", uid)
 		case p.picked[uid]:
 			return nil, fmt.Errorf("units: %q is in an earlier stage", uid)
+		case slices.Contains(units, u):
+			return nil, fmt.Errorf("units: %q is named twice", uid)
 		}
 		units = append(units, u)
 	}
--- a/internal/coordination/release/release_test.go
+++ b/internal/coordination/release/release_test.go
@@ -256,3 +256,12 @@
 		t.Errorf("halted after %d permits: %q, want %d", granted, HaltReason(s.view(), "p"), maxPermitsPerIncarnation)
 	}
 }
+
+// A stage that names a unit twice is rejected: it would have two steps for that unit.
+func TestPlanFileRejectsRepeatedUnit(t *testing.T) {
+	s := newSite(2, 1)
+	text := "name = \"p\"\nversion = \"v2\"\nbake = \"1s\"\nback_within = \"1h\"\n[[stage]]\nunits = [\"s00\", \"s01\", \"s00\"]\n"
+	if _, _, err := ParsePlan("plan.toml", []byte(text), s.Units()); err == nil || !strings.Contains(err.Error(), `"s00" is named twice`) {
+		t.Errorf("got %v, want an error that names the unit", err)
+	}
+}
