Replica: a consistent poll at a follower waits as long as it asks for

Callers got 503 after 5 s from GET /registry/agreed?consistent=1&after=REV&wait_ms=6000 at a follower.

Cause: as with watches, the follower forwarded with the timeout of other requests. Fix: polls go through the same client as watches, which limits the time until the response begins by the longest poll, 10 s, and 5 s.

Looked for elsewhere: at_least waits 5 s at most at the replica that it reaches, and is not forwarded without consistent; with it the leader has that revision.

--- a/internal/registry/replica/api_read.go
+++ b/internal/registry/replica/api_read.go
@@ -122,6 +122,9 @@
 // isWatch reports whether a request for the list asks for a watch.
 func isWatch(req *http.Request) bool { return req.URL.Query().Get("follow") != "" }
 
+// isPoll reports whether a request for the coordination view waits for a later revision.
+func isPoll(req *http.Request) bool { return req.URL.Query().Get("after") != "" }
+
 // parseRevisions returns the revisions in a query. A revision that is not given is zero.
 func parseRevisions(query url.Values) (since, minRevision int64, err error) {
 	for _, p := range []struct {
--- a/internal/registry/replica/forward.go
+++ b/internal/registry/replica/forward.go
@@ -26,8 +26,8 @@
 	}
 	out.Header.Set(api.HeaderForwarded, r.cfg.ID)
 	client := r.forward
-	if isWatch(in) {
-		client = r.forwardWatch
+	if isWatch(in) || isPoll(in) {
+		client = r.forwardWaiting
 	}
 	resp, err := client.Do(out)
 	if err != nil {
@@ -48,9 +48,10 @@
 	io.Copy(to, resp.Body) //nolint:errcheck // a client that has disconnected needs no response
 }
 
-// newForwardWatchClient returns the client that forwards watches. Their responses do not end, so only their start is limited.
-func newForwardWatchClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{ResponseHeaderTimeout: requestTimeout}}
+// newForwardWaitingClient returns the client that forwards watches, whose responses do not end, and polls, whose responses begin
+// after the time that they wait. Only the time until a response begins is limited.
+func newForwardWaitingClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{ResponseHeaderTimeout: requestTimeout + maxPollWait}}
 }
 
 // flushWriter sends each write to the client at once.
--- a/internal/registry/replica/forward_test.go
+++ b/internal/registry/replica/forward_test.go
@@ -139,20 +139,7 @@
 func TestForwardedWatchContinues(t *testing.T) {
 	t.Parallel()
 	const heartbeats = 3 // they take longer than requestTimeout
-	pair := startPair(t)
-	for _, r := range pair {
-		t.Cleanup(func() { r.Close() })
-	}
-	follower := pair[0]
-	waitFor(t, "a follower that knows the leader's address", func() bool {
-		for i, r := range pair {
-			if leader := pair[1-i]; leader.raft.State() == raft.Leader && memberAddress(t, r, leader.cfg.ID) == leader.Addr() {
-				follower = r
-				return true
-			}
-		}
-		return false
-	})
+	follower := startFollower(t)
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+follower.Addr()+"/registry/instances?follow=1&consistent=1&since=0", nil)
@@ -175,3 +162,40 @@
 		}
 	}
 }
+
+// A consistent poll at a follower is forwarded to the leader and waits as long as it asks for, also beyond the timeout of other
+// requests.
+func TestForwardedPollWaits(t *testing.T) {
+	t.Parallel()
+	const wait = requestTimeout + time.Second
+	follower := startFollower(t)
+	began := time.Now()
+	url := fmt.Sprintf("http://%s/registry/agreed?consistent=1&after=%d&wait_ms=%d", follower.Addr(), int64(1)<<41, wait.Milliseconds())
+	resp, err := http.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if elapsed := time.Since(began); resp.StatusCode != http.StatusOK || elapsed < wait {
+		t.Errorf("got %s after %v, want a view after %v", resp.Status, elapsed, wait)
+	}
+}
+
+// startFollower starts a registry of two replicas and returns the follower once it knows the address of the leader.
+func startFollower(t *testing.T) (follower *Replica) {
+	t.Helper()
+	pair := startPair(t)
+	for _, r := range pair {
+		t.Cleanup(func() { r.Close() })
+	}
+	waitFor(t, "a follower that knows the leader's address", func() bool {
+		for i, r := range pair {
+			if leader := pair[1-i]; leader.raft.State() == raft.Leader && memberAddress(t, r, leader.cfg.ID) == leader.Addr() {
+				follower = r
+				return true
+			}
+		}
+		return false
+	})
+	return follower
+}
--- a/internal/registry/replica/replica.go
+++ b/internal/registry/replica/replica.go
@@ -21,19 +21,19 @@
 
 // Replica is a running replica of the registry. [New] starts one, and Close must be called to stop it.
 type Replica struct {
-	cfg          Config
-	fsm          *fsm
-	raft         *raft.Raft
-	trans        *raft.NetworkTransport
-	store        *raftboltdb.BoltStore // stores the votes of raft, and the log entries that logStore writes
-	logStore     *checksumStore
-	listener     net.Listener // for clients
-	http         *http.Server
-	forward      *http.Client // to the leader
-	forwardWatch *http.Client // watches to the leader
-	watches      watchSet
-	metrics      *metrics
-	renewals     chan renewRequest // to leaderLoop
+	cfg            Config
+	fsm            *fsm
+	raft           *raft.Raft
+	trans          *raft.NetworkTransport
+	store          *raftboltdb.BoltStore // stores the votes of raft, and the log entries that logStore writes
+	logStore       *checksumStore
+	listener       net.Listener // for clients
+	http           *http.Server
+	forward        *http.Client // to the leader
+	forwardWaiting *http.Client // watches and polls to the leader
+	watches        watchSet
+	metrics        *metrics
+	renewals       chan renewRequest // to leaderLoop
 
 	serving    atomic.Bool
 	failed     chan error    // the reason is sent on it when this replica fails
@@ -47,14 +47,14 @@
 func New(cfg Config) (*Replica, error) {
 	cfg.setDefaults()
 	r := &Replica{
-		cfg:          cfg,
-		fsm:          newFSM(),
-		forward:      &http.Client{Timeout: requestTimeout},
-		forwardWatch: newForwardWatchClient(),
-		renewals:     make(chan renewRequest),
-		failed:       make(chan error, 1),
-		closing:      make(chan struct{}),
-		leaderDone:   make(chan struct{}),
+		cfg:            cfg,
+		fsm:            newFSM(),
+		forward:        &http.Client{Timeout: requestTimeout},
+		forwardWaiting: newForwardWaitingClient(),
+		renewals:       make(chan renewRequest),
+		failed:         make(chan error, 1),
+		closing:        make(chan struct{}),
+		leaderDone:     make(chan struct{}),
 	}
 	r.metrics = newMetrics(r)
 	r.fsm.onApplied = r.metrics.countWrite
@@ -127,7 +127,7 @@
 }
 
 func (r *Replica) closeResources() {
-	r.forwardWatch.CloseIdleConnections()
+	r.forwardWaiting.CloseIdleConnections()
 	if r.listener != nil {
 		r.listener.Close()
 	}
