--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -135,7 +135,7 @@
 		return false
 	case WithIdempotencyKey:
 		latestRetry := b.now + b.settings.MaxRetryAfter
-		return c.IdempotencyScope == ScopeAll && b.settings.MaxRetryAfter > 0 && b.beforeKeyExpires(a, latestRetry)
+		return c.IdempotencyScope == ScopeAll && latestRetry > b.now && b.beforeKeyExpires(a, latestRetry)
 	}
 	return true
 }
