Node: a rejection by discovery keeps the status that was sent in its text

Staff would have read "503 Service Unavailable" in the log whatever status line discovery had sent.

Cause: the work on full queues replaced the error with the status by a fixed one. Fix: RejectedError carries the status; the watcher asks for its type.

Evidence: TestGoldenRequests, unchanged, passes again; the tests of poll mode pass.

--- a/internal/node/discovery/client.go
+++ b/internal/node/discovery/client.go
@@ -51,10 +51,17 @@
 var (
 	ErrSilent    = errors.New("silent for too long")
 	ErrMalformed = errors.New("malformed message")
-	ErrRejected  = errors.New("discovery answers 503 Service Unavailable")
 	errTruncated = errors.New("a line was cut short")
 )
 
+// RejectedError reports a 503, with which discovery rejects a request because of its load.
+type RejectedError struct {
+	Status string // the status line without the protocol
+}
+
+// Error returns a message with the status.
+func (e *RejectedError) Error() string { return "discovery answers " + e.Status }
+
 // Client sends requests to discovery at one address. It is safe for concurrent use.
 type Client struct {
 	// Addr is the host:port of discovery.
@@ -168,7 +175,7 @@
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		c.recordRejection()
-		return Update{}, ErrRejected
+		return Update{}, &RejectedError{resp.Status}
 	}
 	if resp.StatusCode != http.StatusOK {
 		return Update{}, fmt.Errorf("discovery answers %s", resp.Status)
@@ -219,7 +226,7 @@
 	c.overloaded.Store(resp.StatusCode == http.StatusServiceUnavailable)
 	if c.overloaded.Load() {
 		c.recordRejection()
-		return ErrRejected
+		return &RejectedError{resp.Status}
 	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("discovery answers %s", resp.Status)
--- a/internal/node/watcher.go
+++ b/internal/node/watcher.go
@@ -249,10 +249,11 @@
 		w.setConfirmedAt(min(w.confirmedAt, w.loop.now()-discovery.SilenceTimeout)) // a poll for the dropped update is due now
 	}
 	var delay time.Duration
+	var rejected *discovery.RejectedError
 	switch {
 	case w.pushMode, errors.Is(err, discovery.ErrSilent):
 		delay = w.nextRewatchDelay(w.loop.now() - began)
-	case errors.Is(err, discovery.ErrRejected):
+	case errors.As(err, &rejected):
 		delay = rejectedRewatchDelay/2 + rand.N(rejectedRewatchDelay)
 	default: // the balancer decides when to subscribe again
 		w.loop.handle(balancer.SubscriptionFailed{})
