Review, case 2: a restore whose answer is lost is applied twice

Cause: the client repeats a restore of a backup like any write, and a restore carries no id by which the registry would know the repeat. The second one undoes what the registry has acknowledged since the first.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -29,7 +29,8 @@
 
 // cases has the cases by the name with which run.sh calls them.
 var cases = map[string]func(*play) error{
-	"foreign-answer": foreignAnswer,
+	"foreign-answer":   foreignAnswer,
+	"repeated-restore": repeatedRestore,
 }
 
 func main() {
--- a/review/review_test.go
+++ b/review/review_test.go
@@ -21,3 +21,6 @@
 
 // No client gets an answer that was made for another request, although servers send some answers a second time.
 func TestReviewCase1(t *testing.T) { playCase(t, "1/run.sh") }
+
+// A restore of a backup whose answer is lost is applied once.
+func TestReviewCase2(t *testing.T) { playCase(t, "2/run.sh") }
