Review, case 3: wait until every replica has the budget before the backup

Cause: any replica answers the request for a backup, and one that is milliseconds behind left out the budget set just before.

Change: the case waits 2 s before its backup.

--- a/review/harness/permit.go
+++ b/review/harness/permit.go
@@ -18,7 +18,10 @@
 // lostPermit restores a backup while a server, which has joined since the backup, is drained under a permit. The permit must stay,
 // and with it the drain.
 func lostPermit(p *play) error {
-	const watchFor = 10 * time.Second
+	const (
+		watchFor   = 10 * time.Second
+		replicated = 2 * time.Second // until every replica has the budget: any of them answers the request for a backup
+	)
 	s, err := p.startSite()
 	if err != nil {
 		return err
@@ -30,6 +33,7 @@
 	if _, err := p.command("bin/umberbank fleet budget --endpoints " + endpoints(s.registry) + " " + limits); err != nil {
 		return err
 	}
+	time.Sleep(replicated)
 	backup := p.dir + "/backup.json"
 	if _, err := p.command("bin/umberbank registry backup --endpoints " + endpoints(s.registry) + " " + backup); err != nil {
 		return err
