--- a/review/harness/foreign.go
+++ b/review/harness/foreign.go
@@ -39,7 +39,7 @@
 		}
 		l.Targets = append(l.Targets, target{UID: s.name, Endpoint: s.addr, Zone: "amman-dc", Kind: "gw-fast", State: "SERVING", Weight: 1})
 	}
-	discovery, err := p.startDiscovery(l)
+	source, err := p.startDiscovery(l)
 	if err != nil {
 		return err
 	}
@@ -47,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	config := newNodeConfig("n0", listen, discovery)
+	config := newNodeConfig("n0", listen, source.addr)
 	config.Known = l
 	if _, err := p.startNode(config); err != nil {
 		return err
--- a/review/harness/node.go
+++ b/review/harness/node.go
@@ -69,11 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	text, err := json.Marshal(config)
-	if err != nil {
-		return nil, err
-	}
-	path, err := p.writeFile(config.Name+".json", string(text))
+	path, err := p.writeConfig(config)
 	if err != nil {
 		return nil, err
 	}
@@ -81,6 +77,15 @@
 		"ROUTER_DISCOVERY="+config.Discovery)
 }
 
+// writeConfig writes the configuration file of a node and returns its path.
+func (p *play) writeConfig(config nodeConfig) (string, error) {
+	text, err := json.Marshal(config)
+	if err != nil {
+		return "", err
+	}
+	return p.writeFile(config.Name+".json", string(text))
+}
+
 // deployCommand returns a command of the deploy file.
 func deployCommand(key string) (string, error) {
 	text, err := os.ReadFile("deploy/balancer.toml")
