Node: log and count how attempts and requests end without success

The records of the incident could not say why a request was closed, retried or rejected, or in which part of an attempt its time was spent: nothing logged or counted it.

Each attempt now has a phase (connecting, sending, awaiting the head, receiving the body). Attempts that do not succeed, retries, and requests without a server's response are logged with their correlation ID at up to 20 lines a second, and counted in two new figures of vars, attempt_ends and request_ends. The golden file of the figures has the two keys; the keys that were there are unchanged.

--- a/balancer/event.go
+++ b/balancer/event.go
@@ -120,3 +120,23 @@
 func (TimerFired) event()         {}
 func (Reconfigure) event()        {}
 func (Restore) event()            {}
+
+// resultNames are the names of the results in logs and metrics.
+var resultNames = [...]string{
+	Success:        "success",
+	Failure:        "failure",
+	Overloaded:     "overloaded",
+	TimedOut:       "timed_out",
+	Unreachable:    "unreachable",
+	ConnectionLost: "connection_lost",
+	Cancelled:      "cancelled",
+	NotSent:        "not_sent",
+}
+
+// String returns the name of the result in logs and metrics.
+func (r Result) String() string {
+	if r < 0 || int(r) >= len(resultNames) {
+		return "unknown"
+	}
+	return resultNames[r]
+}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -45,6 +45,7 @@
 		l.events = append(l.events, l.end(attempt, upstream.AttemptResult{Result: balancer.NotSent}))
 		return
 	}
+	l.ends.retrySent(attempt)
 	call := l.newCall(ctx, attempt, now+timeout)
 	if r.streamedBody == nil {
 		attempt.timer = time.AfterFunc(timeout, func() { cancel(upstream.ErrTimedOut) })
@@ -144,6 +145,7 @@
 	attempt.stopTimer()
 	attempt.cancel(nil)
 	r.inFlight--
+	l.ends.attemptEnded(attempt, result, l.now()-attempt.sentAt)
 	if attempt.responding {
 		l.metrics.InFlight.Add(-1)
 	}
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -93,6 +93,7 @@
 	}
 	r, release, err := f.read(w, hr)
 	if err != nil {
+		f.loop.ends.notAccepted(hr, err)
 		reject(w, err)
 		return
 	}
@@ -134,6 +135,7 @@
 		f.writeResponse(w, hr, r, resp)
 	case <-bodyFailed:
 		f.loop.post(func() { f.loop.clientDisconnected(r) })
+		f.loop.ends.notAccepted(hr, r.streamedBody.Err())
 		reject(w, r.streamedBody.Err())
 	case <-disconnected:
 		f.loop.post(func() { f.loop.clientDisconnected(r) })
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -44,6 +44,7 @@
 	pool        *upstream.Pool
 	watcher     *watcher
 	metrics     *metrics.Metrics
+	ends        *endRecorder
 	ctx         context.Context         // the context of run; polls end with it
 	classes     atomic.Pointer[classes] // replaced by the loop, also read by the frontend
 	maxAttempts int
@@ -63,6 +64,7 @@
 		balancer:    b,
 		pool:        pool,
 		metrics:     counters,
+		ends:        newEndRecorder(counters),
 		maxAttempts: cfg.Settings.MaxAttempts,
 		posted:      make(chan func(), postQueueSize),
 		done:        make(chan struct{}),
@@ -148,9 +150,9 @@
 	case balancer.Cancel:
 		l.cancel(a)
 	case balancer.Reject:
-		l.finish(a.ID, clientResponse{status: http.StatusServiceUnavailable, retryAfter: a.RetryAfter})
+		l.finish(a.ID, clientResponse{status: http.StatusServiceUnavailable, retryAfter: a.RetryAfter, end: metrics.RejectedByBalancer})
 	case balancer.Fail:
-		l.finish(a.ID, clientResponse{status: http.StatusBadGateway})
+		l.finish(a.ID, clientResponse{status: http.StatusBadGateway, end: metrics.FailedByBalancer})
 	case balancer.SetTimer:
 		l.after(a.At-l.now(), func() { l.handle(balancer.TimerFired{Token: a.Token}) })
 	case balancer.Subscribe:
--- a/internal/node/metrics/metrics.go
+++ b/internal/node/metrics/metrics.go
@@ -19,8 +19,10 @@
 	ReloadsApplied   atomic.Int64 // configurations that were applied by a reload
 	ReloadsRejected  atomic.Int64 // configurations that were rejected by a reload
 
-	mu      sync.Mutex
-	results map[string]*ClassResults
+	mu          sync.Mutex
+	results     map[string]*ClassResults
+	attemptEnds map[AttemptEnd]int64
+	requestEnds map[RequestEnd]int64
 }
 
 // ClassResults count the final responses to the requests of one class. Requests whose client
@@ -31,6 +33,29 @@
 	Failed    int64 `json:"aborted"`
 }
 
+// AttemptEnd says how an attempt ended without success.
+type AttemptEnd struct {
+	Result string // of the attempt
+	Phase  string // during which it ended
+}
+
+// MarshalText formats an AttemptEnd as a key of the report.
+func (e AttemptEnd) MarshalText() ([]byte, error) { return []byte(e.Result + " " + e.Phase), nil }
+
+// RequestEnd is the reason why a request got no response of a server. Its text is a key of the report.
+type RequestEnd string
+
+// Reasons why requests got no response of a server.
+const (
+	NotAccepted        RequestEnd = "not_accepted"  // the node rejected it because of its head or its body
+	ShuttingDown       RequestEnd = "shutting_down" // it came or was unfinished shortly before the kill
+	RejectedByBalancer RequestEnd = "rejected"      // the balancer rejected it
+	FailedByBalancer   RequestEnd = "failed"        // the balancer failed it
+	NoDecision         RequestEnd = "no_decision"   // the balancer did not complete it by its deadline
+	ClientDisconnected RequestEnd = "disconnected"  // its client disconnected
+	ResponseTruncated  RequestEnd = "truncated"     // a streamed response could not be completed
+)
+
 // report is the JSON format of the metrics.
 type report struct {
 	Results          map[string]*ClassResults `json:"results"`
@@ -40,6 +65,8 @@
 	EndpointsEjected int64                    `json:"ejected"`
 	ReloadsApplied   int64                    `json:"sighup_applied"`
 	ReloadsRejected  int64                    `json:"sighup_rejected"`
+	AttemptEnds      map[AttemptEnd]int64     `json:"attempt_ends"`
+	RequestEnds      map[RequestEnd]int64     `json:"request_ends"`
 }
 
 // AddClass adds a class to the report, with zero counts until its first response.
@@ -66,6 +93,26 @@
 	}
 }
 
+// CountAttemptEnd counts the end of an attempt that did not succeed.
+func (m *Metrics) CountAttemptEnd(end AttemptEnd) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.attemptEnds == nil {
+		m.attemptEnds = map[AttemptEnd]int64{}
+	}
+	m.attemptEnds[end]++
+}
+
+// CountRequestEnd counts a request that got no response of a server.
+func (m *Metrics) CountRequestEnd(end RequestEnd) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.requestEnds == nil {
+		m.requestEnds = map[RequestEnd]int64{}
+	}
+	m.requestEnds[end]++
+}
+
 // resultsOf returns the results of a class, and adds them if they are missing. m.mu must be held.
 func (m *Metrics) resultsOf(class string) *ClassResults {
 	if m.results == nil {
@@ -91,6 +138,8 @@
 		EndpointsEjected: m.EndpointsEjected.Load(),
 		ReloadsApplied:   m.ReloadsApplied.Load(),
 		ReloadsRejected:  m.ReloadsRejected.Load(),
+		AttemptEnds:      m.attemptEnds,
+		RequestEnds:      m.requestEnds,
 	})
 	if err != nil {
 		return "fail " + err.Error()
--- a/internal/node/metrics/metrics_test.go
+++ b/internal/node/metrics/metrics_test.go
@@ -23,5 +23,8 @@
 	m.EndpointsEjected.Store(14)
 	m.ReloadsApplied.Store(15)
 	m.ReloadsRejected.Store(16)
+	m.CountAttemptEnd(AttemptEnd{Result: "timed_out", Phase: "sending"})
+	m.CountRequestEnd(NoDecision)
+	m.CountRequestEnd(NoDecision)
 	nodetest.Golden(t, "figures.golden", m.JSON()+"\n")
 }
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -9,6 +9,7 @@
 
 	"umberbank/balancer"
 	"umberbank/internal/node/clientconn"
+	"umberbank/internal/node/metrics"
 	"umberbank/internal/node/upstream"
 )
 
@@ -33,6 +34,7 @@
 
 	maxAttempts int            // from the settings at the time of accept
 	class       balancer.Class // from the settings at the time of accept; className is its name
+	acceptedAt  time.Duration  // clock time
 	firstSentAt time.Duration  // when the first attempt that may have run was sent; zero if there is none
 
 	finished      atomic.Bool // the request is completed or its client has disconnected; set only by the loop
@@ -51,6 +53,7 @@
 	retryAfter  time.Duration      // zero for no Retry-After header
 	streamed    *upstream.Response // a response whose body is streamed; nil if body is complete
 	rejection   error              // why the request was not accepted; nil if it was
+	end         metrics.RequestEnd // why no server's response is sent; empty if one is
 }
 
 // accept registers a request from the frontend and passes it to the balancer.
@@ -61,6 +64,7 @@
 		return
 	}
 	if l.closing {
+		l.metrics.CountRequestEnd(metrics.ShuttingDown)
 		r.response <- clientResponse{status: http.StatusServiceUnavailable}
 		return
 	}
@@ -71,6 +75,7 @@
 	l.lastID++
 	r.id = strconv.FormatUint(l.lastID, 10)
 	l.requests[r.id] = r
+	r.acceptedAt = l.now()
 	l.metrics.InFlight.Add(1)
 	l.startFallbackTimer(r)
 	l.handle(balancer.Request{
@@ -89,7 +94,7 @@
 	r.fallbackTimer = l.after(r.fallbackAt-l.now(), func() {
 		if !r.finished.Load() {
 			slog.Error("balancer did not complete a request by its deadline", "request", r.id)
-			l.abandon(r)
+			l.abandon(r, metrics.NoDecision)
 		}
 	})
 }
@@ -113,8 +118,8 @@
 }
 
 // abandon fails a request without a decision of the balancer, and reports it to the balancer as a client disconnect.
-func (l *loop) abandon(r *request) {
-	l.finish(r.id, clientResponse{status: http.StatusBadGateway})
+func (l *loop) abandon(r *request, end metrics.RequestEnd) {
+	l.finish(r.id, clientResponse{status: http.StatusBadGateway, end: end})
 	l.handle(balancer.ClientDisconnected{ID: r.id})
 }
 
@@ -123,7 +128,7 @@
 	l.closing = true
 	for _, r := range l.requests {
 		if !r.finished.Load() {
-			l.abandon(r)
+			l.abandon(r, metrics.ShuttingDown)
 		}
 	}
 }
@@ -133,6 +138,7 @@
 func (l *loop) clientDisconnected(r *request) {
 	if r.fallbackTimer != nil && l.markFinished(r) { // without a timer the request was never accepted
 		l.metrics.InFlight.Add(-1)
+		l.ends.requestEnded(r, metrics.ClientDisconnected, l.now()-r.acceptedAt)
 		l.handle(balancer.ClientDisconnected{ID: r.id})
 		l.removeIfDone(r)
 	}
@@ -143,6 +149,9 @@
 	r := l.requests[id]
 	if r != nil && l.markFinished(r) {
 		l.metrics.InFlight.Add(-1)
+		if resp.end != "" {
+			l.ends.requestEnded(r, resp.end, l.now()-r.acceptedAt)
+		}
 		r.response <- resp
 		l.removeIfDone(r)
 	}
--- a/internal/node/upstream/attempt.go
+++ b/internal/node/upstream/attempt.go
@@ -53,6 +53,8 @@
 	// ResponseStarted is called when the response starts to be streamed; see Response. The reader of
 	// the response must call Finish or Discard.
 	ResponseStarted func(*Response)
+
+	phase *phaseTracker // set by Attempt
 }
 
 // AttemptResult is the outcome of an attempt. Body and ContentType are set for a Success whose response
@@ -61,6 +63,7 @@
 	Result      balancer.Result
 	Body        []byte
 	ContentType string
+	Phase       Phase // during which the attempt ended
 }
 
 func (r AttemptResult) succeeded() bool { return r.Result == balancer.Success }
@@ -87,6 +90,8 @@
 		p.put(e, c) // nothing was written
 		return AttemptResult{Result: result}
 	}
+	call.phase = &phaseTracker{}
+	call.phase.enter(Sending)
 	stop := context.AfterFunc(ctx, c.abort) // aborting the connection also ends the exchange
 	var result AttemptResult
 	var reusable bool
@@ -95,6 +100,7 @@
 	} else {
 		result, reusable = p.exchangeLong(ctx, c, call)
 	}
+	result.Phase = call.phase.current()
 	p.adjustMaxReuseIdle(c, result)
 	if stop() && reusable {
 		p.put(e, c)
@@ -136,6 +142,7 @@
 		return AttemptResult{Result: balancer.Unreachable}, false
 	}
 	p.metrics.AttemptsSent.Add(1)
+	call.phase.enter(AwaitingHead)
 	c.limit.N = maxHeadBytes
 	resp, err := readHead(c.reader, call.Request)
 	if err != nil {
@@ -172,6 +179,7 @@
 // request.
 func (p *Pool) receive(ctx context.Context, c *conn, resp *http.Response, call Call) (result AttemptResult, reusable bool) {
 	defer resp.Body.Close()
+	call.phase.enter(ReceivingBody)
 	c.limit.N = maxFramedBytes
 	complete := false
 	switch {
@@ -237,7 +245,7 @@
 	case streaming:
 		return AttemptResult{Result: balancer.Success}, true
 	}
-	return AttemptResult{balancer.Success, response.buffered, response.ContentType}, true
+	return AttemptResult{Result: balancer.Success, Body: response.buffered, ContentType: response.ContentType}, true
 }
 
 // pauseLimitedReader reads the body of a response, and fails if the server pauses for maxServerPause.
--- a/internal/node/upstream/long.go
+++ b/internal/node/upstream/long.go
@@ -55,6 +55,7 @@
 	switch {
 	case err == nil:
 		p.metrics.AttemptsSent.Add(1)
+		call.phase.enter(AwaitingHead)
 		call.BodySent()
 	case call.StreamedBody.Broken():
 		c.Conn.Close() // an incomplete request gets no response
--- a/internal/node/write.go
+++ b/internal/node/write.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"umberbank/internal/node/clientconn"
+	"umberbank/internal/node/metrics"
 	"umberbank/internal/node/upstream"
 )
 
@@ -52,6 +53,7 @@
 	if err == nil {
 		return
 	}
+	f.loop.post(func() { f.loop.ends.requestEnded(r, metrics.ResponseTruncated, f.loop.now()-r.acceptedAt) })
 	if resp.streamed.Length < 0 && !hr.ProtoAtLeast(1, 1) {
 		clientconn.ClientOf(hr).Reset() // a plain close would look like the end of the response
 	}
