Upstream: a response whose body is silent keeps the deadline of its request

What callers saw: no response until they gave up, 3.6 s after their time, when a server sent the head of a response and nothing more (head-silence in all three records of the incident).

Cause: receiveOK let a response over 64 KiB stream as soon as its head had arrived, and one of unknown length 0.25 s later. responseStarted then made it the final response and stopped the attempt's timer, so only the limit of 10 s for a server's pause was left, although the client had not got one byte.

A response is streamed from the first byte of its body on. Until then its attempt times out and is retried like any other.

TestProgramSlowResponseIsNotCutOff passed before and after: a response that is written for twice the client's time arrives whole. Class of the fault: a deadline that ends at an event which gives the client nothing.

--- a/internal/node/upstream/attempt.go
+++ b/internal/node/upstream/attempt.go
@@ -50,7 +50,8 @@
 	Conditions   Conditions
 	// BodySent is called when the last byte of a request with a StreamedBody has been written.
 	BodySent func()
-	// ResponseStarted is called when the response starts to be streamed; see Response. The reader of
+	// ResponseStarted is called when the response starts to be streamed, which is at the first byte of
+	// its body at the earliest; see Response. The reader of
 	// the response must call Finish or Discard.
 	ResponseStarted func(*Response)
 
@@ -218,19 +219,15 @@
 		return AttemptResult{Result: unansweredResult(ctx)}, false
 	}
 	defer release()
-	response := newResponse(resp.Header.Get("Content-Type"), resp.ContentLength, func() { c.Conn.Close() })
-	start := func() {
-		if response.startStreaming() {
-			call.ResponseStarted(response)
-		}
-	}
+	stop := func() { c.Conn.Close() }
+	response := newResponse(resp.Header.Get("Content-Type"), resp.ContentLength, stop, call.ResponseStarted)
 	switch {
 	case response.Length > bodybudget.MaxBufferedBytes:
-		start()
+		response.allowStreaming()
 	case response.Length < 0: // the response may take long, so its first bytes must not be held back until its end
-		defer time.AfterFunc(gatherTimeout, start).Stop()
+		defer time.AfterFunc(gatherTimeout, response.allowStreaming).Stop()
 	}
-	err = response.receive(pauseLimitedReader{c.Conn, resp.Body}, start)
+	err = response.receive(pauseLimitedReader{c.Conn, resp.Body})
 	streaming, abandoned := response.state()
 	if streaming {
 		err = <-response.finished
--- a/internal/node/upstream/response.go
+++ b/internal/node/upstream/response.go
@@ -29,26 +29,30 @@
 
 // Response is a server's response that is passed on to the client. It buffers at most
 // bodybudget.MaxBufferedBytes. A response is streamed if its body is longer than that, or if its length
-// is unknown and it is not complete within gatherTimeout. The attempt's goroutine receives it, and one
-// other goroutine reads it if it is streamed. Otherwise its body is in the AttemptResult.
+// is unknown and it is not complete within gatherTimeout. Streaming starts at the first byte of the body
+// at the earliest: until then the attempt can time out and be retried. The attempt's goroutine receives
+// the response, and one other goroutine reads it if it is streamed. Otherwise its body is in the
+// AttemptResult.
 type Response struct {
 	ContentType string
 	Length      int64 // in bytes; -1 if unknown
 
-	finished chan error // receives the result of streaming to the client; nil if it was complete
-	stop     func()     // makes receive end
+	finished chan error      // receives the result of streaming to the client; nil if it was complete
+	stop     func()          // makes receive end
+	started  func(*Response) // called when streaming starts
 
 	mu        sync.Mutex
 	changed   *sync.Cond // signalled when any field below changes
 	buffered  []byte
+	allowed   bool // streaming starts as soon as a byte is buffered
 	streaming bool
 	ended     bool
 	err       error // why receiving ended; nil if the response is complete
 	abandoned bool
 }
 
-func newResponse(contentType string, length int64, stop func()) *Response {
-	r := &Response{ContentType: contentType, Length: length, stop: stop, finished: make(chan error, 1)}
+func newResponse(contentType string, length int64, stop func(), started func(*Response)) *Response {
+	r := &Response{ContentType: contentType, Length: length, stop: stop, started: started, finished: make(chan error, 1)}
 	r.changed = sync.NewCond(&r.mu)
 	if length > 0 {
 		r.buffered = make([]byte, 0, min(length, bodybudget.MaxBufferedBytes))
@@ -56,22 +60,28 @@
 	return r
 }
 
-// startStreaming starts streaming the response. It returns false if the response is streamed already or
-// has ended.
-func (r *Response) startStreaming() bool {
+// allowStreaming lets the response be streamed, from the first byte of its body on.
+func (r *Response) allowStreaming() {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.streaming || r.ended {
-		return false
+	r.allowed = true
+	r.mu.Unlock()
+	r.startStreaming()
+}
+
+// startStreaming starts streaming the response if that is allowed and a byte is buffered. It does nothing
+// if the response is streamed already or has ended.
+func (r *Response) startStreaming() {
+	r.mu.Lock()
+	starts := r.allowed && len(r.buffered) > 0 && !r.streaming && !r.ended
+	r.streaming = r.streaming || starts
+	r.mu.Unlock()
+	if starts {
+		r.started(r)
 	}
-	r.streaming = true
-	r.changed.Broadcast()
-	return true
 }
 
-// receive reads the response to its end. It returns nil if the response is complete. It calls start
-// when the buffer is full and there is more to buffer.
-func (r *Response) receive(body io.Reader, start func()) error {
+// receive reads the response to its end. It returns nil if the response is complete.
+func (r *Response) receive(body io.Reader) error {
 	buf := make([]byte, r.firstChunkBytes())
 	total := int64(0)
 	for {
@@ -79,7 +89,7 @@
 		if total += int64(n); total > bodybudget.MaxBodyBytes {
 			err = errTooLong
 		}
-		if abandoned := r.addAll(buf[:n], start); abandoned != nil {
+		if abandoned := r.addAll(buf[:n]); abandoned != nil {
 			return r.end(abandoned)
 		}
 		if err == io.EOF {
@@ -105,14 +115,15 @@
 }
 
 // addAll buffers a piece of the body. While the buffer is full it waits for the reader.
-func (r *Response) addAll(piece []byte, start func()) error {
+func (r *Response) addAll(piece []byte) error {
 	for len(piece) > 0 {
 		n, err := r.add(piece)
 		if err != nil {
 			return err
 		}
+		r.startStreaming()
 		if piece = piece[n:]; len(piece) > 0 {
-			start()
+			r.allowStreaming()
 			r.awaitCapacity()
 		}
 	}
--- a/internal/node/upstream/response_test.go
+++ b/internal/node/upstream/response_test.go
@@ -17,15 +17,11 @@
 	t.Parallel()
 	const size = 10 * bodybudget.MaxBufferedBytes
 	started := make(chan struct{})
-	response := newResponse("", -1, func() {})
+	response := newResponse("", -1, func() {}, func(*Response) { close(started) })
 	received := make(chan error, 1)
 	source := &countingReader{r: strings.NewReader(nodetest.Text(size))}
 	go func() {
-		received <- response.receive(source, func() {
-			if response.startStreaming() {
-				close(started)
-			}
-		})
+		received <- response.receive(source)
 	}()
 	nodetest.Wait(t, started)
 	if n := source.count(); n > bodybudget.MaxBufferedBytes+2*ChunkBytes {
