--- a/cmd/umberbank-node/deadline_test.go
+++ b/cmd/umberbank-node/deadline_test.go
@@ -151,3 +151,103 @@
 		})
 	}
 }
+
+// A server reads a long request slowly or stops reading it. The client's time counts from its own last byte, not from the last
+// byte that the server has read.
+func TestProgramUnreadRequestKeepsDeadline(t *testing.T) {
+	const stops, readPause = 2562, 50 * time.Millisecond
+	for name, c := range map[string]struct {
+		body   int // bytes
+		rate   int // bytes a second that the server reads; zero if it stops reading
+		framed func(body string) (more, framedBody string)
+	}{
+		"stops": {95_374, 0, withLength}, "stops, long": {600_000, 0, withLength},
+		"slow, length": {800_000, 120_000, withLength}, "slow, chunks": {800_000, 120_000, inChunks},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := startNodeFor(t, startRawServer(t, func(conn net.Conn, reader *bufio.Reader) {
+				if _, err := io.CopyN(io.Discard, reader, stops); err != nil {
+					return
+				}
+				for c.rate > 0 {
+					if _, err := io.CopyN(io.Discard, reader, int64(c.rate)*int64(readPause)/int64(time.Second)); err != nil {
+						return
+					}
+					<-time.After(readPause)
+				}
+				<-time.After(testTimeout)
+			}))
+			conn, err := net.Dial("tcp", p.listen)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			more, body := c.framed(strings.Repeat("x", c.body))
+			if err := writeRequest(conn, http.MethodPost, more, body); err != nil {
+				t.Fatal(err)
+			}
+			awaitFinalResponse(t, conn, time.Now())
+		})
+	}
+}
+
+func withLength(body string) (more, framedBody string) {
+	return fmt.Sprintf("Content-Length: %d\r\n", len(body)), body
+}
+
+func inChunks(body string) (more, framedBody string) {
+	return "Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+}
+
+// A pipelined request waits for the response to the one before it. Its client's time counts meanwhile, also in what the server
+// is told.
+func TestProgramPipelinedRequestKeepsDeadline(t *testing.T) {
+	const firstLatency, toldSlack = deadlineTimeLeft * 9 / 10, 150 * time.Millisecond
+	told := make(chan string, 2)
+	p := startNodeFor(t, startRawServer(t, func(conn net.Conn, reader *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			told <- r.Header.Get("X-Time-Left")
+			if len(told) == 1 {
+				<-time.After(firstLatency)
+				io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			}
+		}
+	}))
+	conn, err := net.Dial("tcp", p.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := errors.Join(writeRequest(conn, http.MethodGet, "", ""), writeRequest(conn, http.MethodGet, "", "")); err != nil {
+		t.Fatal(err)
+	}
+	sentAt := time.Now()
+	conn.SetReadDeadline(sentAt.Add(testTimeout))
+	reader := bufio.NewReader(conn)
+	for i := range 2 {
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		if after := time.Since(sentAt); after > deadlineTimeLeft+deadlineSlack {
+			t.Errorf("response %d, %s, came after %v", i, resp.Status, after)
+		}
+	}
+	<-told
+	if len(told) == 0 {
+		return // the second request was not sent
+	}
+	var microseconds int64
+	if _, err := fmt.Sscanf(<-told, "%du", &microseconds); err != nil {
+		t.Fatal(err)
+	}
+	if left := time.Duration(microseconds) * time.Microsecond; left > deadlineTimeLeft-firstLatency+toldSlack {
+		t.Errorf("the server was told %v, the client had %v left", left, deadlineTimeLeft-firstLatency)
+	}
+}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"umberbank/balancer"
-	"umberbank/internal/node/header"
 	"umberbank/internal/node/upstream"
 )
 
@@ -20,8 +19,10 @@
 	endpoint   string        // the ID of the endpoint
 	sentAt     time.Duration // clock time at which the loop handled the Send, before the dial
 	cancel     context.CancelCauseFunc
-	timer      *time.Timer // cancels the attempt at its timeout; nil while there is none
-	responding bool        // the response of this attempt is being streamed to the client
+	timer      *time.Timer          // cancels the attempt at its deadline; nil if it was never sent
+	deadline   func() time.Duration // the clock time at which it times out; any goroutine may call it
+	ended      bool
+	responding bool // the response of this attempt is being streamed to the client
 }
 
 // send starts an attempt. The balancer receives exactly one Outcome for each Send.
@@ -46,19 +47,32 @@
 		return
 	}
 	l.ends.retrySent(attempt)
-	call := l.newCall(ctx, attempt, now+timeout)
-	if r.streamedBody == nil {
-		attempt.timer = time.AfterFunc(timeout, func() { cancel(upstream.ErrTimedOut) })
+	attempt.deadline = constantTime(now + timeout)
+	if r.streamedBody != nil {
+		attempt.deadline = r.currentDeadline
 	}
+	call := l.newCall(ctx, attempt)
+	l.startAttemptTimer(attempt)
 	go func() {
 		result := l.pool.Attempt(ctx, e, call)
-		l.post(func() {
-			l.handle(l.end(attempt, result))
-			l.restartFallbackTimer(r)
-		})
+		l.post(func() { l.handle(l.end(attempt, result)) })
 	}()
 }
 
+// startAttemptTimer starts the timer that cancels an attempt at its deadline. If the deadline has moved by then, because the
+// client is still sending the body, the timer starts again.
+func (l *loop) startAttemptTimer(attempt *attempt) {
+	attempt.timer = l.after(attempt.deadline()-l.now(), func() {
+		switch {
+		case attempt.ended || attempt.responding:
+		case l.now() < attempt.deadline():
+			l.startAttemptTimer(attempt)
+		default:
+			attempt.cancel(upstream.ErrTimedOut)
+		}
+	})
+}
+
 // maySend reports whether an attempt with the given timeout may be sent.
 func (l *loop) maySend(attempt *attempt, timeout time.Duration) bool {
 	r := attempt.request
@@ -71,14 +85,17 @@
 	return r.maxAttempts <= 0 || attempt.index < r.maxAttempts
 }
 
-// newCall returns the upstream call of an attempt. deadline is the clock time at which the attempt times out. It is ignored
-// if the request has a streamed body. newCall stops the fallback timer of such a request. bodySent sets its deadline and
-// starts the timer again, and restartFallbackTimer does if the attempt ends before that.
-func (l *loop) newCall(ctx context.Context, attempt *attempt, deadline time.Duration) upstream.Call {
+// newCall returns the upstream call of an attempt.
+func (l *loop) newCall(ctx context.Context, attempt *attempt) upstream.Call {
 	r := attempt.request
 	call := upstream.Call{
-		Request:         r.outgoing.Clone(ctx),
-		Conditions:      upstream.Conditions{Now: l.now, Wanted: r.clientIsWaiting, Deadline: deadline, RetryDeadline: r.retryDeadline()},
+		Request: r.outgoing.Clone(ctx),
+		Conditions: upstream.Conditions{
+			Now:           l.now,
+			Wanted:        r.clientIsWaiting,
+			Deadline:      attempt.deadline,
+			RetryDeadline: r.retryDeadline(),
+		},
 		ResponseStarted: func(response *upstream.Response) { l.post(func() { l.responseStarted(attempt, response) }) },
 	}
 	if r.streamedBody == nil {
@@ -87,13 +104,9 @@
 		}
 		return call
 	}
-	// There is no deadline until the last byte of the body is sent; clientconn.Body limits how slowly the body may arrive.
 	call.StreamedBody = r.streamedBody
-	call.Conditions.Deadline = 0
-	call.Request.Header.Set(header.TimeLeft, header.FormatTimeLeft(r.timeLeft))
 	call.Request.Body = io.NopCloser(io.MultiReader(bytes.NewReader(r.body), r.streamedBody))
 	call.BodySent = func() { l.post(func() { l.bodySent(attempt) }) }
-	r.fallbackTimer.Stop()
 	return call
 }
 
@@ -104,16 +117,13 @@
 	}
 }
 
-// bodySent sets the deadline of a request once the last byte of its streamed body has been written to a server.
+// bodySent reports the final deadline of a request once the last byte of its streamed body has been written to a server.
 func (l *loop) bodySent(attempt *attempt) {
 	r := attempt.request
-	attempt.timer = time.AfterFunc(r.timeLeft, func() { attempt.cancel(upstream.ErrTimedOut) })
 	if r.finished.Load() {
 		return
 	}
 	l.setDeadlines(r)
-	attempt.timer.Reset(r.deadline - l.now())
-	l.startFallbackTimer(r)
 	l.handle(balancer.RequestBodySent{ID: r.id, Attempt: attempt.index, Deadline: r.deadline})
 }
 
@@ -142,6 +152,7 @@
 // request.
 func (l *loop) end(attempt *attempt, result upstream.AttemptResult) balancer.Outcome {
 	r := attempt.request
+	attempt.ended = true
 	attempt.stopTimer()
 	attempt.cancel(nil)
 	r.inFlight--
--- a/internal/node/clientconn/body.go
+++ b/internal/node/clientconn/body.go
@@ -31,6 +31,7 @@
 // Body reads a request's body and fails if the client falls below the minimum rate. Only the time spent
 // waiting for the client counts. A Body is safe for concurrent use; concurrent reads are serialized.
 type Body struct {
+	client          *Client
 	setReadDeadline func(time.Time) error // on the connection
 	failed          chan struct{}
 
@@ -42,12 +43,53 @@
 	total  int64         // bytes read
 	credit time.Duration // how much longer reads may wait for the client
 	err    error         // why the body cannot be read to its end; nil while it can
+
+	sendMu   sync.Mutex // guards the fields below, also while a read waits
+	progress sendProgress
+	sentAt   time.Time // the final result of Sent; zero until the body is complete
+}
+
+// NewBody returns a Body that reads the body of a request from a client. setReadDeadline sets the read
+// deadline of the client's connection.
+func NewBody(hr *http.Request, setReadDeadline func(time.Time) error) *Body {
+	client := ClientOf(hr)
+	return &Body{
+		client:          client,
+		reader:          hr.Body,
+		credit:          client.BodyAllowance(),
+		setReadDeadline: setReadDeadline,
+		failed:          make(chan struct{}),
+		progress:        sendProgress{length: hr.ContentLength},
+	}
 }
 
-// NewBody returns a Body that reads r. The client may pause for allowance before the first byte.
-// setReadDeadline sets the read deadline of the client's connection.
-func NewBody(r io.Reader, allowance time.Duration, setReadDeadline func(time.Time) error) *Body {
-	return &Body{reader: r, credit: allowance, setReadDeadline: setReadDeadline, failed: make(chan struct{})}
+// Sent returns the earliest time at which the client can have sent the last byte of the body, which is
+// the current time if the client is known to be still sending. It never waits for a read, and what it
+// returns never becomes earlier.
+func (b *Body) Sent() time.Time {
+	b.sendMu.Lock()
+	defer b.sendMu.Unlock()
+	if !b.sentAt.IsZero() {
+		return b.sentAt
+	}
+	return later(b.client.nextRead(), b.progress.until)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// advance records the result of a read.
+func (b *Body) advance(n int, complete bool) {
+	b.sendMu.Lock()
+	defer b.sendMu.Unlock()
+	b.progress.add(n, time.Now())
+	if complete {
+		b.sentAt = later(b.client.LastRead(), b.progress.until)
+	}
 }
 
 // Read reads what the client has sent. The error wraps os.ErrDeadlineExceeded if the client is too
@@ -69,6 +111,7 @@
 	n, err := b.reader.Read(p)
 	earned := time.Duration(n) * time.Second / minBodyRate
 	b.credit = min(maxBodyCredit, b.credit-time.Since(began)+earned)
+	b.advance(n, err == io.EOF)
 	switch b.total += int64(n); {
 	case b.total > bodybudget.MaxBodyBytes:
 		return n, b.fail(&http.MaxBytesError{Limit: bodybudget.MaxBodyBytes})
--- a/internal/node/clientconn/client.go
+++ b/internal/node/clientconn/client.go
@@ -36,6 +36,23 @@
 	return min(MaxBodyPause, max(minFirstPause, FirstBodyTimeout-time.Since(c.connected)))
 }
 
+// LastRead returns the earliest time at which the client can have sent the bytes that net/http got last.
+func (c *Client) LastRead() time.Time {
+	if conn, isClient := c.conn.(*Conn); isClient {
+		return conn.arrival.lastRead()
+	}
+	return time.Now()
+}
+
+// nextRead returns the earliest time at which the client can have sent the first byte that has not been
+// read.
+func (c *Client) nextRead() time.Time {
+	if conn, isClient := c.conn.(*Conn); isClient {
+		return conn.arrival.next()
+	}
+	return time.Now()
+}
+
 // Reset makes closing the connection send a reset, which the client cannot mistake for the end of a
 // response.
 func (c *Client) Reset() {
--- a/internal/node/clientconn/conn.go
+++ b/internal/node/clientconn/conn.go
@@ -7,12 +7,14 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
+// errNoDescriptor is returned for a connection without a file descriptor.
+var errNoDescriptor = errors.New("the connection has no file descriptor")
+
 // States of a connection.
 const (
 	stateIdle    int32 = iota // no bytes have arrived since the last request ended
@@ -43,6 +45,7 @@
 	net.Conn
 	release func() // releases the capacity; called once
 
+	arrival      *arrivalTracker
 	state        atomic.Int32
 	resetOnClose atomic.Bool
 	closed       atomic.Bool
@@ -55,7 +58,12 @@
 	readingAhead chan struct{} // closed when reading ahead has ended; nil until it starts
 }
 
-func newConn(conn net.Conn, release func()) *Conn { return &Conn{Conn: conn, release: release} }
+func newConn(conn net.Conn, release func()) *Conn {
+	if tcp, isTCP := conn.(*net.TCPConn); isTCP {
+		_ = tcp.SetReadBuffer(receiveBufferBytes) // an error means that the connection is already closed
+	}
+	return &Conn{Conn: conn, release: release, arrival: newArrivalTracker()}
+}
 
 // markIdle makes an active connection idle, unless bytes were read ahead. It is called when net/http
 // reports the connection as new or idle.
@@ -83,8 +91,12 @@
 		err = c.err
 	}
 	c.mu.Unlock()
+	wereAhead := n > 0
 	if n == 0 && err == nil {
-		n, err = c.Conn.Read(p)
+		n, err = c.receive(p)
+	}
+	if n > 0 {
+		c.arrival.deliver(wereAhead)
 	}
 	if n > 0 && !c.state.CompareAndSwap(stateIdle, stateActive) && c.state.Load() == stateClosing {
 		return 0, net.ErrClosed // the bytes arrived after the decision to close, so the client must send the request again
@@ -127,8 +139,11 @@
 	defer close(ended)
 	buf := make([]byte, readAheadBytes)
 	for capacity := maxReadAheadBytes; capacity > 0; {
-		n, err := c.Conn.Read(buf[:min(len(buf), capacity)])
+		n, err := c.receive(buf[:min(len(buf), capacity)])
 		capacity -= n
+		if n > 0 {
+			c.arrival.readAhead()
+		}
 		c.mu.Lock()
 		c.ahead = append(c.ahead, buf[:n]...)
 		stopped := errors.Is(err, os.ErrDeadlineExceeded) // by stopWatch
@@ -205,22 +220,11 @@
 // also returns true if this side has closed the connection, and false if the connection has no file
 // descriptor.
 func (c *Conn) Disconnected() bool {
-	sc, hasDescriptor := c.Conn.(syscall.Conn)
-	if !hasDescriptor {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	poll := []unix.PollFd{{Events: unix.POLLRDHUP}} // POLLERR and POLLHUP are always reported
-	if raw.Control(func(fd uintptr) {
-		poll[0].Fd = int32(fd)
-		_, err = unix.Poll(poll, 0)
-	}) != nil {
+	ready, err := pollNow(c.Conn, unix.POLLRDHUP)
+	if errors.Is(err, net.ErrClosed) {
 		return true
 	}
-	return err == nil && poll[0].Revents != 0
+	return err == nil && ready != 0
 }
 
 // CloseWrite shuts down sending only, so that a client that is still writing can read its response.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -25,8 +25,11 @@
 // clock provides Unix time that never goes backwards: the wall clock at start plus the monotonic time since.
 type clock struct{ start time.Time }
 
-func (c clock) now() time.Duration {
-	return time.Duration(c.start.UnixNano()) + time.Since(c.start)
+func (c clock) now() time.Duration { return c.at(time.Now()) }
+
+// at returns the clock time at t, which must have a monotonic reading.
+func (c clock) at(t time.Time) time.Duration {
+	return time.Duration(c.start.UnixNano()) + t.Sub(c.start)
 }
 
 // requestBalancer is the part of balancer.Balancer that the loop uses. Only the loop's goroutine may call it.
@@ -39,7 +42,8 @@
 // loop is the event loop. Its methods run on the goroutine of run, except for post, after, snapshot and setDeadlines, which
 // other goroutines may call. I/O runs on other goroutines, which post its results.
 type loop struct {
-	now         func() time.Duration // returns the clock time; see clock
+	now         func() time.Duration          // returns the clock time; see clock
+	clockTime   func(time.Time) time.Duration // converts a time to clock time
 	balancer    requestBalancer
 	pool        *upstream.Pool
 	watcher     *watcher
@@ -59,8 +63,10 @@
 }
 
 func newLoop(cfg config.Config, b requestBalancer, pool *upstream.Pool, client *discovery.Client, counters *metrics.Metrics) *loop {
+	clock := clock{time.Now()}
 	l := &loop{
-		now:         clock{time.Now()}.now,
+		now:         clock.now,
+		clockTime:   clock.at,
 		balancer:    b,
 		pool:        pool,
 		metrics:     counters,
--- a/internal/node/read.go
+++ b/internal/node/read.go
@@ -15,6 +15,9 @@
 	"umberbank/internal/node/header"
 )
 
+// errExpired is the reason for rejecting a request whose client gives up before the request can be handled.
+var errExpired = errors.New("the time left is over")
+
 // forwardedHeaders are the headers of a client request that are forwarded to servers unchanged.
 var forwardedHeaders = []string{header.CorrelationID, header.IdempotencyKey, "Content-Type"}
 
@@ -40,7 +43,11 @@
 	if release, err = f.readBody(w, hr, r); err != nil {
 		return nil, nil, err
 	}
-	f.loop.setDeadlines(r) // the time left counts from here; for a streamed body, bodySent sets the deadlines again
+	f.loop.setDeadlines(r)
+	if r.deadline <= f.loop.now() {
+		release()
+		return nil, nil, errExpired
+	}
 	return r, release, nil
 }
 
@@ -76,25 +83,36 @@
 
 // readBody reads the part of a request's body that is buffered. release returns the memory to the budget.
 func (f *frontend) readBody(w http.ResponseWriter, hr *http.Request, r *request) (release func(), err error) {
-	allowance := clientconn.ClientOf(hr).BodyAllowance()
 	control := http.NewResponseController(w)
 	if hr.ContentLength == 0 {
+		r.sentAt = constantTime(f.loop.clockTime(clientconn.ClientOf(hr).LastRead()))
 		// The read deadline of requestTimeout is removed: if it passed while the request is served, it would look like a
 		// client disconnect, and the request would be dropped.
 		return func() {}, control.SetReadDeadline(time.Time{})
 	}
+	body := clientconn.NewBody(hr, control.SetReadDeadline)
 	waiting, cancel := context.WithTimeout(hr.Context(), requestTimeout)
 	defer cancel()
 	if release, err = f.loop.pool.RequestBudget().Reserve(waiting, hr.ContentLength); err != nil {
 		return nil, fmt.Errorf("no room for the body: %w", err)
 	}
-	if err := readBufferedBody(hr, r, clientconn.NewBody(hr.Body, allowance, control.SetReadDeadline), control); err != nil {
+	if err := readBufferedBody(hr, r, body, control); err != nil {
 		release()
 		return nil, err
 	}
+	if r.streamedBody == nil {
+		r.sentAt = constantTime(f.loop.clockTime(body.Sent()))
+	} else {
+		r.sentAt = func() time.Duration { return f.loop.clockTime(body.Sent()) }
+	}
 	return release, nil
 }
 
+// constantTime returns a function that always returns t.
+func constantTime(t time.Duration) func() time.Duration {
+	return func() time.Duration { return t }
+}
+
 // readBufferedBody reads the part of a body that is buffered. The rest becomes the request's streamedBody.
 func readBufferedBody(hr *http.Request, r *request, body *clientconn.Body, control *http.ResponseController) error {
 	buffered := bytes.NewBuffer(make([]byte, 0, min(max(hr.ContentLength, 0), bodybudget.MaxBufferedBytes)+bytes.MinRead))
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -20,13 +20,18 @@
 // request is a client request. The loop owns it, except for the atomics and the fields that the frontend sets before
 // accept. deadline, fallbackAt and firstSentAt are clock times.
 type request struct {
-	id           string // assigned by the node, because correlation IDs of clients may repeat
-	className    string
-	clientRetry  bool                // the client has sent the request before
-	costHint     time.Duration       // the expected work; zero if unknown
-	timeLeft     time.Duration       // how long the client waits, from the last byte of the request on
-	deadline     time.Duration       // when the balancer must have completed the request
-	fallbackAt   time.Duration       // when the node fails the request if the balancer has not completed it
+	id          string // assigned by the node, because correlation IDs of clients may repeat
+	className   string
+	clientRetry bool          // the client has sent the request before
+	costHint    time.Duration // the expected work; zero if unknown
+	timeLeft    time.Duration // how long the client waits, from the last byte of the request on
+	deadline    time.Duration // when the balancer must have completed the request
+	fallbackAt  time.Duration // when the node fails the request if the balancer has not completed it
+
+	// sentAt returns the earliest clock time at which the client can have sent the last byte of the request. It moves on
+	// while the client is still sending a streamed body. Any goroutine may call it.
+	sentAt func() time.Duration
+
 	outgoing     *http.Request       // the request that is sent to servers
 	body         []byte              // the buffered part of the body
 	streamedBody *clientconn.Body    // the rest of the body; nil if the whole body is buffered
@@ -91,32 +96,37 @@
 // startFallbackTimer starts the timer that fails a request shortly before its client gives up, in case the balancer does
 // not complete it.
 func (l *loop) startFallbackTimer(r *request) {
-	r.fallbackTimer = l.after(r.fallbackAt-l.now(), func() {
-		if !r.finished.Load() {
-			slog.Error("balancer did not complete a request by its deadline", "request", r.id)
-			l.abandon(r, metrics.NoDecision)
-		}
-	})
+	r.fallbackTimer = l.after(r.fallbackAt-l.now(), func() { l.fallBack(r) })
 }
 
-// restartFallbackTimer starts the fallback timer of a request with a streamed body again after an attempt has ended, if the
-// balancer has neither completed the request nor sent another attempt.
-func (l *loop) restartFallbackTimer(r *request) {
-	if r.streamedBody == nil || r.finished.Load() || r.inFlight > 0 {
+// fallBack fails a request that the balancer has not completed. If the client is still sending the body, so that the
+// deadline has moved, it starts the fallback timer again.
+func (l *loop) fallBack(r *request) {
+	if r.finished.Load() {
 		return
 	}
-	r.fallbackTimer.Stop()
-	l.startFallbackTimer(r)
+	if l.setDeadlines(r); l.now() < r.fallbackAt {
+		l.startFallbackTimer(r)
+		return
+	}
+	slog.Error("balancer did not complete a request by its deadline", "request", r.id)
+	l.abandon(r, metrics.NoDecision)
 }
 
-// setDeadlines sets deadline and fallbackAt of a request whose timeLeft counts from now. The frontend calls it before
-// accept, and the loop for a streamed body.
+// setDeadlines sets deadline and fallbackAt of a request. The frontend calls it before accept. The loop calls it again for a
+// streamed body, whose client may still be sending.
 func (l *loop) setDeadlines(r *request) {
-	reserved := min(deadlineMargin, r.timeLeft/4)
-	r.deadline = l.now() + r.timeLeft - reserved
-	r.fallbackAt = r.deadline + reserved/2
+	r.deadline = r.currentDeadline()
+	r.fallbackAt = r.deadline + r.reservedTime()/2
 }
 
+// currentDeadline returns the clock time by which the balancer must have completed the request, as far as it is known when
+// the client has sent its last byte. Any goroutine may call it.
+func (r *request) currentDeadline() time.Duration { return r.sentAt() + r.timeLeft - r.reservedTime() }
+
+// reservedTime returns the part of the client's time left that the node reserves; see deadlineMargin.
+func (r *request) reservedTime() time.Duration { return min(deadlineMargin, r.timeLeft/4) }
+
 // abandon fails a request without a decision of the balancer, and reports it to the balancer as a client disconnect.
 func (l *loop) abandon(r *request, end metrics.RequestEnd) {
 	l.finish(r.id, clientResponse{status: http.StatusBadGateway, end: end})
--- a/internal/node/upstream/attempt_test.go
+++ b/internal/node/upstream/attempt_test.go
@@ -79,9 +79,11 @@
 	})
 }
 
-// zeroClock is the clock of conditions without deadlines.
+// zeroClock is the clock of conditions whose deadline is never reached.
 func zeroClock() time.Duration { return 0 }
 
+func distantDeadline() time.Duration { return time.Hour }
+
 func newReadyEndpoint(addr string) *Endpoint {
 	e := NewEndpoint(addr, 0)
 	e.SetReady(true)
@@ -100,7 +102,7 @@
 }
 
 // metConditions hold for every attempt to a ready endpoint.
-var metConditions = Conditions{Now: zeroClock, Wanted: func() bool { return true }}
+var metConditions = Conditions{Now: zeroClock, Deadline: distantDeadline, Wanted: func() bool { return true }}
 
 func attemptWith(t *testing.T, p *Pool, e *Endpoint) AttemptResult {
 	t.Helper()
@@ -241,14 +243,14 @@
 	})
 	p, e := newTestPool(10), newReadyEndpoint(addr)
 	ctx := context.Background()
-	if res := p.Attempt(ctx, e, Call{Request: keyedRequest(t), Conditions: Conditions{Now: zeroClock, Wanted: func() bool { return false }}}); res.Result != balancer.NotSent {
+	if res := p.Attempt(ctx, e, Call{Request: keyedRequest(t), Conditions: Conditions{Now: zeroClock, Deadline: distantDeadline, Wanted: func() bool { return false }}}); res.Result != balancer.NotSent {
 		t.Errorf("request finished: result %d, want NotSent", res.Result)
 	}
 	if _, idle := p.Connections(); idle != 1 {
 		t.Error("the new connection was not kept for the next attempt")
 	}
 	becomeUnready := func() bool { e.SetReady(false); return true }
-	if res := p.Attempt(ctx, e, Call{Request: keyedRequest(t), Conditions: Conditions{Now: zeroClock, Wanted: becomeUnready}}); res.Result != balancer.Unreachable {
+	if res := p.Attempt(ctx, e, Call{Request: keyedRequest(t), Conditions: Conditions{Now: zeroClock, Deadline: distantDeadline, Wanted: becomeUnready}}); res.Result != balancer.Unreachable {
 		t.Errorf("endpoint not ready: result %d, want Unreachable", res.Result)
 	}
 	nodetest.Wait(t, eof)
--- a/internal/node/upstream/long.go
+++ b/internal/node/upstream/long.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -69,7 +70,11 @@
 // cannot have run.
 func unsentResult(ctx context.Context, resp *http.Response, call Call) balancer.Result {
 	switch {
-	case ctx.Err() != nil || call.StreamedBody.Broken():
+	case call.StreamedBody.Broken():
+		return balancer.NotSent // not caused by the server
+	case errors.Is(context.Cause(ctx), ErrTimedOut):
+		return balancer.Unreachable // the server has not read the request in time
+	case ctx.Err() != nil:
 		return balancer.NotSent // not caused by the server
 	case resp != nil:
 		return balancer.Overloaded // the server responded without reading the whole request
--- a/internal/node/upstream/presend.go
+++ b/internal/node/upstream/presend.go
@@ -16,10 +16,9 @@
 	Now func() time.Duration
 	// Wanted reports whether the request has no final response yet and its client is still connected.
 	Wanted func() bool
-	// Deadline is the time at which the attempt times out. It is zero for a request with a
-	// StreamedBody, whose timeout starts when its last byte is written. The caller sets the
-	// X-Time-Left header of such a request.
-	Deadline time.Duration
+	// Deadline returns the time at which the attempt times out. While the client is still sending a
+	// StreamedBody, it moves on.
+	Deadline func() time.Duration
 	// RetryDeadline is the time from which the request must not be sent again, because servers might
 	// run it a second time. It is zero if there is no such limit.
 	RetryDeadline time.Duration
@@ -29,20 +28,20 @@
 // reused connections. If ok is false, nothing may be written and the attempt ends with result. All
 // conditions for sending must be checked here.
 func (c *Call) preSendCheck(ctx context.Context, e *Endpoint) (result balancer.Result, ok bool) {
+	deadline := c.Conditions.Deadline()
 	now := c.Conditions.Now()
 	switch {
 	case ctx.Err() != nil, !c.Conditions.Wanted():
 		return balancer.NotSent, false
 	case c.Conditions.RetryDeadline != 0 && now >= c.Conditions.RetryDeadline:
 		return balancer.NotSent, false // the request might run twice
-	case c.Conditions.Deadline != 0 && now >= c.Conditions.Deadline:
+	case now >= deadline:
 		return balancer.NotSent, false
 	case !e.Ready():
 		return balancer.Unreachable, false // it has become draining or was removed from the list
 	case c.StreamedBody != nil && !c.StreamedBody.Consume():
 		return balancer.NotSent, false // another attempt has read part of the body, so this one could not be completed
-	case c.Conditions.Deadline != 0:
-		c.Request.Header.Set(header.TimeLeft, header.FormatTimeLeft(c.Conditions.Deadline-now))
 	}
+	c.Request.Header.Set(header.TimeLeft, header.FormatTimeLeft(deadline-now))
 	return 0, true
 }
