Node test: the server of TestTimeLeftAtTheFirstByte announces that it closes

The test failed once in the suite ('nothing was received on the channel'). What the test checks is unchanged: the time told by both attempts, each over a new connection.

--- a/internal/node/disconnect_test.go
+++ b/internal/node/disconnect_test.go
@@ -293,7 +293,7 @@
 func TestTimeLeftAtTheFirstByte(t *testing.T) {
 	t.Parallel()
 	const dialTime, initial = 100 * time.Millisecond, 10 * time.Second
-	failing, got := nodetest.StubServer(t, "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", true)
+	failing, got := nodetest.StubServer(t, "HTTP/1.1 500 E\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", true)
 	n := newUnstartedNode(t, testConfig("127.0.0.1:1", servingEntry("s", failing)))
 	n.loop.balancer = balancerFunc(func(e balancer.Event) []balancer.Action {
 		switch e := e.(type) {
