Client connections: a request head has at most 100 lines

The connection counts the lines of each head. net/http gets the bytes up to one line too many and then an error, to which it responds with status 400. Heads have at most 8 KiB, and 4 KiB that net/http adds.

--- a/internal/node/clientconn/client.go
+++ b/internal/node/clientconn/client.go
@@ -53,6 +53,13 @@
 	return time.Now()
 }
 
+// HeadRead records that net/http has read the whole head of a request.
+func (c *Client) HeadRead() {
+	if conn, isClient := c.conn.(*Conn); isClient {
+		conn.head.end()
+	}
+}
+
 // Reset makes closing the connection send a reset, which the client cannot mistake for the end of a
 // response.
 func (c *Client) Reset() {
--- a/internal/node/clientconn/conn.go
+++ b/internal/node/clientconn/conn.go
@@ -46,6 +46,7 @@
 	release func() // releases the capacity; called once
 
 	arrival      *arrivalTracker
+	head         headScanner
 	state        atomic.Int32
 	resetOnClose atomic.Bool
 	closed       atomic.Bool
@@ -68,6 +69,7 @@
 // markIdle makes an active connection idle, unless bytes were read ahead. It is called when net/http
 // reports the connection as new or idle.
 func (c *Conn) markIdle() {
+	c.head.begin()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.ahead) == 0 {
@@ -84,6 +86,9 @@
 
 // Read implements net.Conn for net/http.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.head.tooMany() {
+		return 0, errTooManyFields
+	}
 	c.mu.Lock()
 	n, err := copy(p, c.ahead), error(nil)
 	c.ahead = c.ahead[n:]
@@ -97,6 +102,7 @@
 	}
 	if n > 0 {
 		c.arrival.deliver(wereAhead)
+		n = c.head.scan(p[:n])
 	}
 	if n > 0 && !c.state.CompareAndSwap(stateIdle, stateActive) && c.state.Load() == stateClosing {
 		return 0, net.ErrClosed // the bytes arrived after the decision to close, so the client must send the request again
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -20,7 +20,7 @@
 	// idleTimeout is how long a client connection may be idle.
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes is the maximum size of a request head.
-	maxHeaderBytes = 16 << 10
+	maxHeaderBytes = 8 << 10
 
 	// closePollInterval is the interval at which a stopping frontend checks for open connections, and maxCloseWait is how
 	// long it waits for them.
@@ -84,6 +84,7 @@
 
 // ServeHTTP serves one request. The frontend does not use http.ServeMux, which redirects requests whose path is not clean.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	clientconn.ClientOf(hr).HeadRead()
 	if hr.Method == http.MethodGet && hr.URL.Path == readinessPath {
 		f.serveReadiness(w)
 		return
