Node: connections and long bodies fit the smallest memory limit together

Cause: the budget for bodies counted 64 KiB for each, but the buffer of a request doubled to 129 KiB on its last read (ReadFrom wants 512 free bytes), and a streamed response has two buffers of 32 KiB more. Nothing counted connections, of which each takes 24 KiB, and at 32 MB the program and the connections that its descriptors allow leave less than a quarter for bodies.

A body's prefix is read into a buffer that never exceeds what is reserved; the buffers of a streamed response have 16 KiB; connections may hold 0.3 of the memory limit; under 48 MB, bodies get half of what 24 MB leave, at least an eighth of the limit.

Class of the fault: a budget that counts payload and not what holding it costs.

--- a/internal/node/bodybudget/bodybudget.go
+++ b/internal/node/bodybudget/bodybudget.go
@@ -18,8 +18,13 @@
 	// uncountedBytes is the length up to which a body needs no reservation. Such a body counts as part
 	// of its connection's own buffers.
 	uncountedBytes = 4 << 10
-	// memoryFraction is the fraction of the process's memory limit that bodies may hold.
-	memoryFraction = 0.25
+	// maxMemoryFraction is the maximum fraction of the process's memory limit that bodies may hold, and
+	// minMemoryFraction the minimum. In between, bodies get spareFraction of what is left after
+	// baseMB, which is for the program itself and its connections.
+	maxMemoryFraction = 0.25
+	minMemoryFraction = 0.125
+	spareFraction     = 0.5
+	baseMB            = 24
 	// defaultBytes is the budget of a process without a memory limit.
 	defaultBytes = 16 << 20
 )
@@ -46,7 +51,8 @@
 func ForMemory(limitMB float64, shared bool) *Budget {
 	bytes := int64(defaultBytes)
 	if limitMB > 0 {
-		bytes = int64(limitMB * memoryFraction * (1 << 20))
+		spare := spareFraction * (limitMB - baseMB)
+		bytes = int64(min(limitMB*maxMemoryFraction, max(limitMB*minMemoryFraction, spare)) * (1 << 20))
 	}
 	if shared {
 		bytes /= 2
--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"math"
 	"runtime/debug"
 
 	"umberbank/internal/node/control"
@@ -15,6 +16,10 @@
 	// memoryLimitFraction is the fraction of the memory limit at which garbage collection becomes more aggressive. It is
 	// well below 1 because the node is killed at the limit.
 	memoryLimitFraction = 0.7
+	// connectionMemoryFraction is the fraction of the memory limit that client connections may hold, at connectionBytes for
+	// the buffers and the goroutine of each.
+	connectionMemoryFraction = 0.3
+	connectionBytes          = 24 << 10
 )
 
 // A node with an inherited socket has two processes during a replacement, which share one set of limits. A process uses
@@ -25,6 +30,14 @@
 	startingQuota = 1.0 / 3
 )
 
+// maxConnectionsInMemory returns how many client connections the memory limit of the node allows.
+func (n *Node) maxConnectionsInMemory() int {
+	if n.cfg.MemoryMB <= 0 {
+		return math.MaxInt
+	}
+	return int(n.cfg.MemoryMB * connectionMemoryFraction * (1 << 20) / connectionBytes)
+}
+
 // setQuota limits the process to a fraction of the node's descriptors and memory.
 func (n *Node) setQuota(quota float64) {
 	descriptors := n.cfg.Sockets - reservedDescriptors
@@ -32,7 +45,7 @@
 		descriptors -= control.MaxConnections + 1
 	}
 	upstreams := max(1, descriptors*upstreamFractionNum/upstreamFractionDen)
-	clients := max(1, int(quota*float64(descriptors-upstreams)))
+	clients := max(1, int(quota*float64(min(descriptors-upstreams, n.maxConnectionsInMemory()))))
 	n.loop.pool.SetLimit(max(1, int(quota*float64(upstreams))))
 	n.listener.SetLimit(clients)
 	n.frontend.setConnectionLimit(clients)
--- a/internal/node/read.go
+++ b/internal/node/read.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -113,13 +112,38 @@
 	return func() time.Duration { return t }
 }
 
+// firstBodyBufferBytes is the size of the buffer for a body of unknown length before it grows.
+const firstBodyBufferBytes = 4 << 10
+
+// readPrefix reads a body to its end, or one byte more than is buffered of it. length is the length of the body, or negative
+// if it is unknown. The buffer never exceeds what it may hold, unlike one that append grows.
+func readPrefix(body io.Reader, length int64) ([]byte, error) {
+	const limit = bodybudget.MaxBufferedBytes + 1
+	if length < 0 {
+		length = firstBodyBufferBytes
+	}
+	prefix := make([]byte, 0, min(length+1, limit))
+	for {
+		n, err := body.Read(prefix[len(prefix):cap(prefix)])
+		prefix = prefix[:len(prefix)+n]
+		if err == io.EOF {
+			return prefix, nil
+		}
+		if err != nil || len(prefix) == limit {
+			return prefix, err
+		}
+		if len(prefix) == cap(prefix) {
+			prefix = append(make([]byte, 0, min(2*cap(prefix), limit)), prefix...)
+		}
+	}
+}
+
 // readBufferedBody reads the part of a body that is buffered. The rest becomes the request's streamedBody.
 func readBufferedBody(hr *http.Request, r *request, body *clientconn.Body, control *http.ResponseController) error {
-	buffered := bytes.NewBuffer(make([]byte, 0, min(max(hr.ContentLength, 0), bodybudget.MaxBufferedBytes)+bytes.MinRead))
-	if _, err := buffered.ReadFrom(io.LimitReader(body, bodybudget.MaxBufferedBytes+1)); err != nil {
+	var err error
+	if r.body, err = readPrefix(body, hr.ContentLength); err != nil {
 		return fmt.Errorf("body: %w", err)
 	}
-	r.body = buffered.Bytes()
 	r.outgoing.ContentLength = int64(len(r.body))
 	if len(r.body) <= bodybudget.MaxBufferedBytes {
 		return nil
--- a/internal/node/upstream/response.go
+++ b/internal/node/upstream/response.go
@@ -16,7 +16,7 @@
 	// long request.
 	maxServerPause = 10 * time.Second
 	// ChunkBytes is the maximum size of one read or write of the body of a response.
-	ChunkBytes = 32 << 10
+	ChunkBytes = 16 << 10
 	// minChunkBytes is the minimum size of a read buffer, and the first size for a response of unknown
 	// length.
 	minChunkBytes = 1 << 10
@@ -106,7 +106,7 @@
 
 // firstChunkBytes returns the size of the first read buffer: the length of the response, but at least
 // minChunkBytes and at most ChunkBytes. With ChunkBytes for every response, a short one would need
-// 32 KiB for this buffer alone.
+// 16 KiB for this buffer alone.
 func (r *Response) firstChunkBytes() int64 {
 	if r.Length < 0 {
 		return minChunkBytes
