Node: nothing that a closed connection had sent is completed at a server

Cause: the check before the first byte asks the kernel whether the client has closed, but the end of a connection is queued behind unread bytes. For a long body the check ran when none of it had been read, and nothing checked again; with more pipelined bytes than the receive buffer takes, the close is not visible at all. Beyond 4 KiB of pipelined bytes a disconnect during an attempt was not noticed either.

The last bytes of a long body are withheld unless its client is still connected when all of it has been read. Where 64 KiB or more are unread and the request may have been sent over 50 ms ago, its client may have left: it is rejected (503, not executed). A disconnect cancels an attempt whose body is not complete, and is polled for every 50 ms once 4 KiB have been read ahead.

Class of the fault: a state is checked where it cannot be seen yet.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -21,6 +21,7 @@
 	cancel     context.CancelCauseFunc
 	timer      *time.Timer          // cancels the attempt at its deadline; nil if it was never sent
 	deadline   func() time.Duration // the clock time at which it times out; any goroutine may call it
+	bodySent   bool                 // the last byte of a streamed body has been written
 	ended      bool
 	responding bool // the response of this attempt is being streamed to the client
 }
@@ -92,7 +93,8 @@
 		Request: r.outgoing.Clone(ctx),
 		Conditions: upstream.Conditions{
 			Now:           l.now,
-			Wanted:        r.clientIsWaiting,
+			Wanted:        func() bool { return r.clientIsWaiting() && (r.streamedBody != nil || !l.mayHaveLeft(r)) },
+			MayComplete:   func() bool { return r.clientIsWaiting() && !l.mayHaveLeft(r) },
 			Deadline:      attempt.deadline,
 			RetryDeadline: r.retryDeadline(),
 		},
@@ -120,6 +122,7 @@
 // bodySent reports the final deadline of a request once the last byte of its streamed body has been written to a server.
 func (l *loop) bodySent(attempt *attempt) {
 	r := attempt.request
+	attempt.bodySent = true
 	if r.finished.Load() {
 		return
 	}
@@ -141,6 +144,18 @@
 	l.handle(balancer.ResponseStarted{ID: attempt.request.id, Attempt: attempt.index})
 }
 
+// cancelUnsent ends the attempts of a request whose streamed body has not been sent completely, so that no server runs it.
+func (r *request) cancelUnsent() {
+	if r.streamedBody == nil {
+		return
+	}
+	for _, a := range r.attempts {
+		if !a.bodySent {
+			a.cancel(upstream.ErrCancelled)
+		}
+	}
+}
+
 // stopTimer stops an attempt's timer, if it has one.
 func (a *attempt) stopTimer() {
 	if a.timer != nil {
--- a/internal/node/clientconn/client.go
+++ b/internal/node/clientconn/client.go
@@ -77,6 +77,13 @@
 	return func() {}
 }
 
+// Backlogged reports whether a disconnect of the client may be hidden behind unread bytes; see
+// Conn.Backlogged.
+func (c *Client) Backlogged() bool {
+	conn, isClient := c.conn.(*Conn)
+	return isClient && conn.Backlogged()
+}
+
 // Disconnected reports whether the client has shut down sending or closed its connection, even if no
 // read has reported this yet; see Conn.Disconnected.
 func (c *Client) Disconnected() bool {
--- a/internal/node/clientconn/conn.go
+++ b/internal/node/clientconn/conn.go
@@ -24,8 +24,10 @@
 
 const (
 	// maxReadAheadBytes is the maximum number of bytes that WatchDisconnect reads ahead. If a client
-	// sends more before it has received its response, WatchDisconnect does not detect its disconnect.
-	maxReadAheadBytes = 4 << 10
+	// sends more before it has received its response, WatchDisconnect asks the kernel every
+	// disconnectPollInterval.
+	maxReadAheadBytes      = 4 << 10
+	disconnectPollInterval = 50 * time.Millisecond
 	// readAheadBytes is the maximum size of one read of WatchDisconnect.
 	readAheadBytes = 512
 	// closeLingerTimeout is how long Close continues to read and discard bytes at most, so that no
@@ -52,11 +54,17 @@
 	closed       atomic.Bool
 
 	mu           sync.Mutex
-	ahead        []byte        // bytes read ahead, for the next Read of net/http
-	err          error         // the error that ended reading; Read returns it once ahead is empty
-	probed       bool          // net/http's check for a disconnect has read a byte, so net/http checks no more
-	disconnected func()        // called when the client disconnects; nil while there is no watch
-	readingAhead chan struct{} // closed when reading ahead has ended; nil until it starts
+	ahead        []byte       // bytes read ahead, for the next Read of net/http
+	err          error        // the error that ended reading; Read returns it once ahead is empty
+	probed       bool         // net/http's check for a disconnect has read a byte, so net/http checks no more
+	disconnected func()       // called when the client disconnects; nil while there is no watch
+	readingAhead *aheadReader // nil until reading ahead starts
+}
+
+// aheadReader is the goroutine that reads ahead during one watch.
+type aheadReader struct {
+	stop  chan struct{} // closed by stopWatch
+	ended chan struct{} // closed when the goroutine has ended
 }
 
 func newConn(conn net.Conn, release func()) *Conn {
@@ -135,14 +143,14 @@
 	if c.disconnected == nil || !c.probed || c.readingAhead != nil || c.err != nil {
 		return
 	}
-	c.readingAhead = make(chan struct{})
+	c.readingAhead = &aheadReader{stop: make(chan struct{}), ended: make(chan struct{})}
 	go c.readAhead(c.disconnected, c.readingAhead)
 }
 
-// readAhead reads until the client disconnects, stopWatch interrupts it, or maxReadAheadBytes have been
-// read.
-func (c *Conn) readAhead(disconnected func(), ended chan struct{}) {
-	defer close(ended)
+// readAhead reads until the client disconnects or stopWatch interrupts it. Once maxReadAheadBytes have
+// been read, it polls for the disconnect.
+func (c *Conn) readAhead(disconnected func(), reader *aheadReader) {
+	defer close(reader.ended)
 	buf := make([]byte, readAheadBytes)
 	for capacity := maxReadAheadBytes; capacity > 0; {
 		n, err := c.receive(buf[:min(len(buf), capacity)])
@@ -164,6 +172,21 @@
 			return
 		}
 	}
+	c.pollDisconnect(disconnected, reader.stop)
+}
+
+// pollDisconnect calls disconnected once the client has disconnected, unless stop is closed first.
+func (c *Conn) pollDisconnect(disconnected func(), stop <-chan struct{}) {
+	ticker := time.NewTicker(disconnectPollInterval)
+	defer ticker.Stop()
+	for !c.Disconnected() {
+		select {
+		case <-ticker.C:
+		case <-stop:
+			return
+		}
+	}
+	disconnected()
 }
 
 func (c *Conn) stopWatch() {
@@ -172,8 +195,9 @@
 	c.disconnected, c.readingAhead = nil, nil
 	c.mu.Unlock()
 	if readingAhead != nil {
+		close(readingAhead.stop)
 		c.SetReadDeadline(time.Unix(1, 0)) // a time in the past interrupts the read
-		<-readingAhead
+		<-readingAhead.ended
 		c.SetReadDeadline(time.Time{})
 	}
 }
--- a/internal/node/read.go
+++ b/internal/node/read.go
@@ -17,6 +17,10 @@
 // errExpired is the reason for rejecting a request whose client gives up before the request can be handled.
 var errExpired = errors.New("the time left is over")
 
+// errBacklogged is the reason for rejecting a request whose client has sent so much behind it that the node cannot tell
+// whether the client is still connected.
+var errBacklogged = errors.New("too many bytes behind the request")
+
 // forwardedHeaders are the headers of a client request that are forwarded to servers unchanged.
 var forwardedHeaders = []string{header.CorrelationID, header.IdempotencyKey, "Content-Type"}
 
@@ -38,16 +42,22 @@
 		costHint:    header.ParseCostHint(hr.Header.Get(header.Facts)),
 		outgoing:    newOutgoing(hr),
 		response:    make(chan clientResponse, 1),
+		backlogged:  clientconn.ClientOf(hr).Backlogged,
 	}
 	if release, err = f.readBody(w, hr, r); err != nil {
 		return nil, nil, err
 	}
 	f.loop.setDeadlines(r)
-	if r.deadline <= f.loop.now() {
-		release()
-		return nil, nil, errExpired
-	}
-	return r, release, nil
+	switch {
+	case r.deadline <= f.loop.now():
+		err = errExpired
+	case r.streamedBody == nil && f.loop.mayHaveLeft(r):
+		err = errBacklogged
+	default:
+		return r, release, nil
+	}
+	release()
+	return nil, nil, err
 }
 
 // check returns an error if a request must be rejected because of its head.
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -45,6 +45,7 @@
 	finished      atomic.Bool // the request is completed or its client has disconnected; set only by the loop
 	disconnected  atomic.Bool // the client has disconnected; the loop may not have been notified yet
 	connected     func() bool // checks whether the client is still connected; any goroutine may call it
+	backlogged    func() bool // checks whether a disconnect may be hidden behind unread bytes; any goroutine may call it
 	fallbackTimer *time.Timer // nil if the request was never accepted
 	attempts      []*attempt
 	inFlight      int // number of attempts that have not ended
@@ -149,6 +150,7 @@
 	if r.fallbackTimer != nil && l.markFinished(r) { // without a timer the request was never accepted
 		l.metrics.InFlight.Add(-1)
 		l.ends.requestEnded(r, metrics.ClientDisconnected, l.now()-r.acceptedAt)
+		r.cancelUnsent()
 		l.handle(balancer.ClientDisconnected{ID: r.id})
 		l.removeIfDone(r)
 	}
@@ -191,5 +193,14 @@
 	return r.firstSentAt + window - min(deadlineMargin, window/4)
 }
 
+// maxDisconnectDelay is how long after a disconnect an attempt may still begin, less a margin for the transfer.
+const maxDisconnectDelay = 50 * time.Millisecond
+
+// mayHaveLeft reports whether the client can have disconnected for longer than maxDisconnectDelay without a sign: the end of
+// the connection may be hidden behind unread bytes, and the request may have been sent that long ago. Any goroutine may call it.
+func (l *loop) mayHaveLeft(r *request) bool {
+	return l.now()-r.sentAt() > maxDisconnectDelay && r.backlogged()
+}
+
 // clientIsWaiting reports whether the request is unfinished and its client connected. Any goroutine may call it.
 func (r *request) clientIsWaiting() bool { return !r.finished.Load() && r.connected() }
--- a/internal/node/upstream/long.go
+++ b/internal/node/upstream/long.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -25,6 +26,26 @@
 	return w.Conn.Write(p)
 }
 
+// errNotWanted ends the body of a request that no client waits for any more.
+var errNotWanted = errors.New("the request is finished, or its client may have disconnected")
+
+// wantedBody reads the body of a long request. It withholds the last bytes if the request is not wanted
+// any more, so that no server runs it. That a client has disconnected may become visible only when the
+// whole body has been read, because the end of the connection is behind it.
+type wantedBody struct {
+	io.ReadCloser
+	call Call
+}
+
+// Read implements io.Reader.
+func (b wantedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if b.call.StreamedBody.Complete() && !b.call.Conditions.MayComplete() {
+		return 0, errNotWanted
+	}
+	return n, err
+}
+
 // exchangeLong writes a request with a StreamedBody while its client sends it, and reads the response.
 // If the response begins before the client has sent the whole body, exchangeLong closes the connection,
 // and the result is that of unsentResult.
@@ -37,10 +58,10 @@
 		c.Conn.Close() // stops writeLong if it is still writing
 	}
 	if !call.StreamedBody.Complete() {
-		return AttemptResult{Result: unsentResult(ctx, resp, call)}, false
+		return AttemptResult{Result: unsentResult(ctx, resp, call, nil)}, false
 	}
-	if <-wrote != nil {
-		return AttemptResult{Result: unsentResult(ctx, resp, call)}, false
+	if writeErr := <-wrote; writeErr != nil {
+		return AttemptResult{Result: unsentResult(ctx, resp, call, writeErr)}, false
 	}
 	if err != nil {
 		return AttemptResult{Result: unansweredResult(ctx)}, false
@@ -52,13 +73,14 @@
 // writeLong writes a request with a StreamedBody. If that fails, it makes the read of the response end
 // as well.
 func (p *Pool) writeLong(c *conn, call Call) error {
+	call.Request.Body = wantedBody{call.Request.Body, call}
 	err := call.Request.Write(pauseLimitedWriter{c.Conn})
 	switch {
 	case err == nil:
 		p.metrics.AttemptsSent.Add(1)
 		call.phase.enter(AwaitingHead)
 		call.BodySent()
-	case call.StreamedBody.Broken():
+	case call.StreamedBody.Broken(), errors.Is(err, errNotWanted):
 		c.Conn.Close() // an incomplete request gets no response
 	default:
 		c.SetReadDeadline(time.Now().Add(earlyResponseTimeout))
@@ -67,10 +89,10 @@
 }
 
 // unsentResult returns the result of an attempt whose last byte was not written, so that the request
-// cannot have run.
-func unsentResult(ctx context.Context, resp *http.Response, call Call) balancer.Result {
+// cannot have run. writeErr is the error of the write if it has ended.
+func unsentResult(ctx context.Context, resp *http.Response, call Call, writeErr error) balancer.Result {
 	switch {
-	case call.StreamedBody.Broken():
+	case call.StreamedBody.Broken(), errors.Is(writeErr, errNotWanted):
 		return balancer.NotSent // not caused by the server
 	case errors.Is(context.Cause(ctx), ErrTimedOut):
 		return balancer.Unreachable // the server has not read the request in time
--- a/internal/node/upstream/presend.go
+++ b/internal/node/upstream/presend.go
@@ -16,6 +16,9 @@
 	Now func() time.Duration
 	// Wanted reports whether the request has no final response yet and its client is still connected.
 	Wanted func() bool
+	// MayComplete reports whether the last bytes of a StreamedBody may be sent, once all of it has been
+	// read from the client.
+	MayComplete func() bool
 	// Deadline returns the time at which the attempt times out. While the client is still sending a
 	// StreamedBody, it moves on.
 	Deadline func() time.Duration
--- a/internal/node/write.go
+++ b/internal/node/write.go
@@ -129,8 +129,8 @@
 		return http.StatusRequestTimeout
 	case errors.Is(err, errUnknownClass):
 		return http.StatusNotFound
-	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, errExpired):
-		return http.StatusServiceUnavailable // no memory for the body became available in time, or it came too late
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, errExpired), errors.Is(err, errBacklogged):
+		return http.StatusServiceUnavailable // the request has not been executed, and may be sent again
 	}
 	return http.StatusBadRequest
 }
