--- a/cmd/umberbank-node/disconnect_test.go
+++ b/cmd/umberbank-node/disconnect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -41,13 +42,8 @@
 						return
 					}
 					arrived.Add(1)
-					for {
-						if n, err := io.CopyN(io.Discard, r.Body, readAtOnce); n == 0 && err == io.EOF {
-							break
-						} else if err != nil && err != io.EOF {
-							return
-						}
-						<-time.After(readPause)
+					if err := readSlowly(r.Body, readAtOnce, readPause); err != nil {
+						return
 					}
 					switch at := closedAt.Load(); {
 					case at == 0:
@@ -64,7 +60,7 @@
 				t.Fatal(err)
 			}
 			go io.WriteString(conn, sent)
-			go io.Copy(io.Discard, conn) // unread responses would make the close a reset
+			go func() { _, _ = io.Copy(io.Discard, conn) }() // unread responses would make the close a reset
 			eventually(t, "a request at the server", func() bool { return arrived.Load() > 0 })
 			<-time.After(served / 3)
 			closedAt.Store(time.Now().UnixNano())
@@ -76,3 +72,17 @@
 		})
 	}
 }
+
+// readSlowly reads r to its end, in pieces with pauses.
+func readSlowly(r io.Reader, piece int64, pause time.Duration) error {
+	for {
+		_, err := io.CopyN(io.Discard, r, piece)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		<-time.After(pause)
+	}
+}
