Node: a request whose correlation ID comes again does not run twice

Cause: the node gave each request an ID of its own and knew nothing of earlier requests with the same correlation ID, whose attempt may still be running when the client has gone.

Requests of classes that are not idempotent by themselves claim their correlation ID before they are accepted. A claim is released if no attempt may have run; otherwise a later request with that ID gets 409 (failed, not sent). Processes that replace each other share it as a mapped file beside their lock file; its space is reserved first, and without it the process has a table of its own and says so.

Two tests repeated IDs of POST requests, which the protocol forbids ('a fresh value accompanies every request'); they send different ones now, and check what they checked. Class of the fault: identity that ends with the connection.

--- a/cmd/umberbank-node/disconnect_test.go
+++ b/cmd/umberbank-node/disconnect_test.go
@@ -7,8 +7,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -86,3 +89,78 @@
 		<-time.After(pause)
 	}
 }
+
+// A correlation ID that comes again after its client has left does not run again, unless the class is safe to repeat. It makes no
+// difference whether it comes to the same process or to the one that has replaced it.
+func TestProgramRepeatedIDRunsOnce(t *testing.T) {
+	var runs atomic.Int64
+	ended := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		<-ended
+	}))
+	defer server.Close()
+	defer close(ended)
+	for name, replaced := range map[string]bool{"same process": false, "replaced process": true} {
+		t.Run(name, func(t *testing.T) {
+			runs.Store(0)
+			config, text := configFor(t, server, "127.0.0.1:1", "on_request")
+			text = strings.Replace(text, `"read_like"`, `"non_idempotent"`, 1)
+			if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			start := inheritingPrograms(t, config)
+			p := start()
+			first := sendUnsafeRequest(t, p)
+			eventually(t, "the first run", func() bool { return runs.Load() == 1 })
+			first.Close()
+			if replaced {
+				old := p
+				p = start()
+				old.cmd.Process.Signal(syscall.SIGTERM)
+				_ = old.cmd.Wait() // its exit code is the matter of other tests
+			}
+			again := sendUnsafeRequest(t, p)
+			defer again.Close()
+			awaitFinalResponse(t, again, time.Now())
+			if n := runs.Load(); n != 1 {
+				t.Errorf("the request ran %d times", n)
+			}
+		})
+	}
+}
+
+// inheritingPrograms returns a function that starts programs that share a listening socket and a directory for temporary files.
+func inheritingPrograms(t *testing.T, config string) (start func() *process) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	file, err := listener.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { file.Close() })
+	dir := t.TempDir()
+	return func() *process {
+		cmd := programCommand(t, config)
+		cmd.Env = append(cmd.Env, "TMPDIR="+dir, "ROUTER_ACCEPT_FD=3") // 3 is the first of ExtraFiles
+		cmd.ExtraFiles = []*os.File{file}
+		return startCommand(t, cmd)
+	}
+}
+
+// sendUnsafeRequest sends the request with the ID "c" on a new connection.
+func sendUnsafeRequest(t *testing.T, p *process) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", p.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := writeRequest(conn, http.MethodPost, "Content-Length: 4\r\n", "body"); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
--- a/cmd/umberbank-node/program_test.go
+++ b/cmd/umberbank-node/program_test.go
@@ -88,7 +88,13 @@
 // startProgram executes the shell commands in first, starts the program and waits until it listens.
 func startProgram(t *testing.T, config string, first ...string) *process {
 	t.Helper()
-	p := &process{cmd: programCommand(t, config, first...)}
+	return startCommand(t, programCommand(t, config, first...))
+}
+
+// startCommand starts a program and waits until it listens.
+func startCommand(t *testing.T, cmd *exec.Cmd) *process {
+	t.Helper()
+	p := &process{cmd: cmd}
 	stderr, err := p.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/doc.go
+++ b/internal/node/doc.go
@@ -10,7 +10,8 @@
 //   - upstream sends attempts over connections to servers; bodybudget limits the memory that bodies occupy;
 //   - discovery follows the endpoint list; follower applies the settings of rollouts;
 //   - snapshotter saves what the balancer has learned; processlock lets one process of a node replace another;
-//   - control and metrics serve operators.
+//   - sentids remembers the IDs of requests that must not run twice;
+//   - control, metrics and requestlog serve operators.
 //
 // A node keeps up to three kinds of data on disk, each only if the configuration names a location:
 //
@@ -20,7 +21,8 @@
 //   - the last endpoint list of the registry (registry/client).
 //
 // Each is read once, at startup, after the configuration. Damaged files are logged and ignored. A node with an inherited
-// socket also has a lock file in the directory for temporary files (processlock).
+// socket also has two files in the directory for temporary files, a lock (processlock) and the IDs of the latest requests
+// that must not run twice (sentids). They hold nothing that a later node needs.
 //
 // While discovery or the registry is unreachable, a serving node continues with its current endpoint list and settings,
 // without a time limit. A node with a rollout that starts during that time waits until the registry counts it as in sync.
--- a/internal/node/longrequest_test.go
+++ b/internal/node/longrequest_test.go
@@ -38,7 +38,7 @@
 		t.Run(name, func(t *testing.T) {
 			conn := nodetest.Dial(t, n.Addr().String())
 			r := bufio.NewReader(conn)
-			io.WriteString(conn, head("POST", "/order/1", c.more))
+			io.WriteString(conn, strings.Replace(head("POST", "/order/1", c.more), "c-1", "c-"+name, 1))
 			if strings.HasPrefix(c.more, "Expect") {
 				if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != http.StatusContinue {
 					t.Fatalf("got %+v, %v, want 100 Continue", resp, err)
@@ -49,7 +49,7 @@
 			if err != nil || resp.StatusCode != http.StatusOK {
 				t.Fatalf("got %+v, %v", resp, err)
 			}
-			if s := nodetest.Wait(t, got); s.Content != body || s.Header.Get("X-Correlation-Id") != "c-1" {
+			if s := nodetest.Wait(t, got); s.Content != body || s.Header.Get("X-Correlation-Id") != "c-"+name {
 				t.Errorf("the server received %d bytes, want the complete body", len(s.Content))
 			}
 			if c.more[0] != 'T' { // after a chunked request the connection is closed, see hasAmbiguousEnd
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -10,6 +10,7 @@
 	"umberbank/internal/node/config"
 	"umberbank/internal/node/discovery"
 	"umberbank/internal/node/metrics"
+	"umberbank/internal/node/sentids"
 	"umberbank/internal/node/upstream"
 )
 
@@ -49,6 +50,7 @@
 	watcher     *watcher
 	metrics     *metrics.Metrics
 	ends        *endRecorder
+	sentIDs     *sentids.Table
 	ctx         context.Context         // the context of run; polls end with it
 	classes     atomic.Pointer[classes] // replaced by the loop, also read by the frontend
 	maxAttempts int
@@ -71,6 +73,7 @@
 		pool:        pool,
 		metrics:     counters,
 		ends:        newEndRecorder(counters),
+		sentIDs:     sentids.New(),
 		maxAttempts: cfg.Settings.MaxAttempts,
 		posted:      make(chan func(), postQueueSize),
 		done:        make(chan struct{}),
--- a/internal/node/metrics/metrics.go
+++ b/internal/node/metrics/metrics.go
@@ -53,6 +53,7 @@
 	FailedByBalancer   RequestEnd = "failed"        // the balancer failed it
 	NoDecision         RequestEnd = "no_decision"   // the balancer did not complete it by its deadline
 	ClientDisconnected RequestEnd = "disconnected"  // its client disconnected
+	RepeatedID         RequestEnd = "repeated_id"   // a server may have run an earlier request with its correlation ID
 	ResponseTruncated  RequestEnd = "truncated"     // a streamed response could not be completed
 )
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"sync"
@@ -19,6 +20,7 @@
 	"umberbank/internal/node/listener"
 	"umberbank/internal/node/metrics"
 	"umberbank/internal/node/processlock"
+	"umberbank/internal/node/sentids"
 	"umberbank/internal/node/snapshotter"
 	"umberbank/internal/node/upstream"
 	"umberbank/internal/registry/client"
@@ -129,6 +131,7 @@
 		if n.lock, err = processlock.Open(os.TempDir(), n.cfg.Name); err != nil {
 			return fmt.Errorf("process lock: %w", err)
 		}
+		n.shareSentIDs()
 		n.setQuota(startingQuota)
 	}
 	if n.cfg.Control != "" {
@@ -139,6 +142,17 @@
 	return nil
 }
 
+// shareSentIDs makes the node use one table of sent IDs with the process that it replaces. If that fails, it keeps a table of
+// its own.
+func (n *Node) shareSentIDs() {
+	table, err := sentids.Open(os.TempDir(), n.cfg.Name)
+	if err != nil {
+		slog.Error("the IDs of requests are not shared with another process of this node", "error", err)
+		return
+	}
+	n.loop.sentIDs = table
+}
+
 // Addr returns the address that the node listens on for clients.
 func (n *Node) Addr() net.Addr { return n.listener.Addr() }
 
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -9,7 +9,9 @@
 
 	"umberbank/balancer"
 	"umberbank/internal/node/clientconn"
+	"umberbank/internal/node/header"
 	"umberbank/internal/node/metrics"
+	"umberbank/internal/node/sentids"
 	"umberbank/internal/node/upstream"
 )
 
@@ -48,7 +50,8 @@
 	backlogged    func() bool // checks whether a disconnect may be hidden behind unread bytes; any goroutine may call it
 	fallbackTimer *time.Timer // nil if the request was never accepted
 	attempts      []*attempt
-	inFlight      int // number of attempts that have not ended
+	idClaim       sentids.Claim // of the correlation ID; zero for an idempotent request
+	inFlight      int           // number of attempts that have not ended
 }
 
 // clientResponse is the final response to a client.
@@ -78,6 +81,11 @@
 		return // no client waits for a response
 	}
 	r.maxAttempts, r.class = l.maxAttempts, (*l.classes.Load())[r.className]
+	if !l.claimID(r) {
+		l.metrics.CountRequestEnd(metrics.RepeatedID)
+		r.response <- clientResponse{status: http.StatusConflict}
+		return
+	}
 	l.lastID++
 	r.id = strconv.FormatUint(l.lastID, 10)
 	l.requests[r.id] = r
@@ -94,6 +102,16 @@
 	})
 }
 
+// claimID claims the correlation ID of a request that must not run twice. It returns false if a server may have run, or may
+// yet run, an earlier request with that ID.
+func (l *loop) claimID(r *request) (ok bool) {
+	if r.class.Effect == balancer.Idempotent {
+		return true
+	}
+	r.idClaim, ok = l.sentIDs.Claim(r.outgoing.Header.Get(header.CorrelationID))
+	return ok
+}
+
 // startFallbackTimer starts the timer that fails a request shortly before its client gives up, in case the balancer does
 // not complete it.
 func (l *loop) startFallbackTimer(r *request) {
@@ -177,8 +195,13 @@
 
 // removeIfDone removes a request that is finished and has no attempt in flight.
 func (l *loop) removeIfDone(r *request) {
-	if r.finished.Load() && r.inFlight == 0 {
-		delete(l.requests, r.id)
+	if !r.finished.Load() || r.inFlight > 0 {
+		return
+	}
+	delete(l.requests, r.id)
+	if r.firstSentAt == 0 {
+		l.sentIDs.Release(r.idClaim)
+		r.idClaim = sentids.Claim{}
 	}
 }
 
--- a/internal/node/request_test.go
+++ b/internal/node/request_test.go
@@ -64,8 +64,9 @@
 	})
 	n := startNode(t, testConfig("127.0.0.1:1", servingEntry("s", addr)), nil)
 	conn := nodetest.Dial(t, n.Addr().String())
+	long := strings.Replace(head("POST", "/order/3", "Content-Length: 100000\r\n"), "c-1", "c-3", 1)
 	go io.WriteString(conn, head("GET", "/read/1", "")+head("POST", "/order/2", "Content-Length: 5\r\n")+"12345"+
-		head("POST", "/order/3", "Content-Length: 100000\r\n")+nodetest.Text(100000)+head("GET", "/read/4", ""))
+		long+nodetest.Text(100000)+head("GET", "/read/4", ""))
 	r := bufio.NewReader(conn)
 	for _, want := range []string{"/read/1 0", "/order/2 5", "/order/3 100000", "/read/4 0"} {
 		resp, err := http.ReadResponse(r, nil)
