Client connections: what is read ahead is bounded for the connection

Cause: during each request the connection reads ahead to see a disconnect behind pipelined bytes. The limit of 4 KiB held for one request, and a request takes 100 bytes of what was read, so each one added up to 4 KiB. The limit now holds for what the connection has.

Class of the fault: a limit for each use of something that outlives the use.

--- a/internal/node/clientconn/conn.go
+++ b/internal/node/clientconn/conn.go
@@ -23,8 +23,8 @@
 )
 
 const (
-	// maxReadAheadBytes is the maximum number of bytes that WatchDisconnect reads ahead. If a client
-	// sends more before it has received its response, WatchDisconnect asks the kernel every
+	// maxReadAheadBytes is the maximum number of bytes that a connection holds that WatchDisconnect has
+	// read ahead, over all watches. If a client sends more before it has received its response, WatchDisconnect asks the kernel every
 	// disconnectPollInterval.
 	maxReadAheadBytes      = 4 << 10
 	disconnectPollInterval = 50 * time.Millisecond
@@ -152,9 +152,8 @@
 func (c *Conn) readAhead(disconnected func(), reader *aheadReader) {
 	defer close(reader.ended)
 	buf := make([]byte, readAheadBytes)
-	for capacity := maxReadAheadBytes; capacity > 0; {
+	for capacity := c.aheadCapacity(); capacity > 0; capacity = c.aheadCapacity() {
 		n, err := c.receive(buf[:min(len(buf), capacity)])
-		capacity -= n
 		if n > 0 {
 			c.arrival.readAhead()
 		}
@@ -175,6 +174,13 @@
 	c.pollDisconnect(disconnected, reader.stop)
 }
 
+// aheadCapacity returns how many more bytes may be read ahead.
+func (c *Conn) aheadCapacity() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maxReadAheadBytes - len(c.ahead)
+}
+
 // pollDisconnect calls disconnected once the client has disconnected, unless stop is closed first.
 func (c *Conn) pollDisconnect(disconnected func(), stop <-chan struct{}) {
 	ticker := time.NewTicker(disconnectPollInterval)
--- a/internal/node/clientconn/conn_test.go
+++ b/internal/node/clientconn/conn_test.go
@@ -76,6 +76,31 @@
 	}
 }
 
+// Many requests of a client that pipelines more than the node handles do not read ahead more than one does.
+func TestReadAheadIsBounded(t *testing.T) {
+	t.Parallel()
+	const requests = 40
+	server, client := nodetest.TCPPair(t)
+	c := newConn(server, func() {})
+	io.WriteString(client, nodetest.Text(2*requests*maxReadAheadBytes))
+	aheadBytes := func() int {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return len(c.ahead)
+	}
+	for range requests {
+		if n, err := c.Read(make([]byte, 1)); n != 1 || err != nil {
+			t.Fatalf("read %d bytes: %v", n, err)
+		}
+		stop := c.WatchDisconnect(func() { t.Error("the client has not disconnected") })
+		nodetest.Eventually(t, "bytes ahead", func() bool { return aheadBytes() >= maxReadAheadBytes })
+		stop()
+	}
+	if n := aheadBytes(); n > maxReadAheadBytes {
+		t.Errorf("%d bytes were read ahead, the limit is %d", n, maxReadAheadBytes)
+	}
+}
+
 // Closing a connection with unread bytes does not reset it: the client receives the last response and
 // its end.
 func TestCloseWithUnreadBytes(t *testing.T) {
