--- a/internal/node/read.go
+++ b/internal/node/read.go
@@ -100,7 +100,9 @@
 		return func() {}, control.SetReadDeadline(time.Time{})
 	}
 	body := clientconn.NewBody(hr, control.SetReadDeadline)
-	waiting, cancel := context.WithTimeout(hr.Context(), requestTimeout)
+	// The client's time may already be running, because the bytes of a short body arrive with the head.
+	longestWait := min(requestTimeout, r.timeLeft-r.reservedTime()-time.Since(clientconn.ClientOf(hr).LastRead()))
+	waiting, cancel := context.WithTimeout(hr.Context(), longestWait)
 	defer cancel()
 	if release, err = f.loop.pool.RequestBudget().Reserve(waiting, hr.ContentLength); err != nil {
 		return nil, fmt.Errorf("no room for the body: %w", err)
