Upstream: a timeout while the server does not read is the server's

A timeout in that phase now counts as unreachable for buffered requests too; a cancellation by the balancer or the client counts as not sent, as before. One function decides for both kinds of requests.

--- a/internal/node/upstream/attempt.go
+++ b/internal/node/upstream/attempt.go
@@ -136,11 +136,7 @@
 		return AttemptResult{Result: balancer.NotSent}, false
 	}
 	if _, err := c.Write(message.Bytes()); err != nil {
-		// The request was not written completely, so it cannot have run.
-		if ctx.Err() != nil {
-			return AttemptResult{Result: balancer.NotSent}, false
-		}
-		return AttemptResult{Result: balancer.Unreachable}, false
+		return AttemptResult{Result: unwrittenResult(ctx)}, false
 	}
 	p.metrics.AttemptsSent.Add(1)
 	call.phase.enter(AwaitingHead)
@@ -152,6 +148,15 @@
 	return p.receive(ctx, c, resp, call)
 }
 
+// unwrittenResult returns the result of an attempt whose write failed or was aborted. The request was not
+// written completely, so it cannot have run.
+func unwrittenResult(ctx context.Context) balancer.Result {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), ErrTimedOut) {
+		return balancer.NotSent // not caused by the server
+	}
+	return balancer.Unreachable // the connection broke, or the server did not read the request in time
+}
+
 // readHead reads the head of a response and skips interim responses. A 101 is returned as final,
 // because no request asks to switch protocols.
 func readHead(reader *bufio.Reader, r *http.Request) (*http.Response, error) {
--- a/internal/node/upstream/attempt_test.go
+++ b/internal/node/upstream/attempt_test.go
@@ -299,3 +299,32 @@
 		t.Errorf("%d connections open", open)
 	}
 }
+
+// A server that does not read a request until it times out is the cause of the timeout, and the request has not run.
+func TestTimeoutWhileServerDoesNotRead(t *testing.T) {
+	t.Parallel()
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	addr := nodetest.Listen(t, func(c net.Conn, _ *bufio.Reader) { <-stop })
+	p := newTestPool(1)
+	dial := p.Dial
+	p.Dial = func(ctx context.Context, addr string, timeout time.Duration) (net.Conn, error) {
+		c, err := dial(ctx, addr, timeout)
+		if err == nil {
+			err = c.(*net.TCPConn).SetWriteBuffer(4096)
+		}
+		return c, err
+	}
+	body := nodetest.Text(8 << 20)
+	for cause, want := range map[error]balancer.Result{ErrTimedOut: balancer.Unreachable, ErrCancelled: balancer.NotSent} {
+		r, err := http.NewRequest(http.MethodPost, "/send/1", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancelCause(context.Background())
+		time.AfterFunc(200*time.Millisecond, func() { cancel(cause) })
+		if res := p.Attempt(ctx, newReadyEndpoint(addr), Call{Request: r, Conditions: metConditions}); res.Result != want || res.Phase != Sending {
+			t.Errorf("%v: got %v in phase %v, want %v", cause, res.Result, res.Phase, want)
+		}
+	}
+}
--- a/internal/node/upstream/long.go
+++ b/internal/node/upstream/long.go
@@ -94,12 +94,8 @@
 	switch {
 	case call.StreamedBody.Broken(), errors.Is(writeErr, errNotWanted):
 		return balancer.NotSent // not caused by the server
-	case errors.Is(context.Cause(ctx), ErrTimedOut):
-		return balancer.Unreachable // the server has not read the request in time
-	case ctx.Err() != nil:
-		return balancer.NotSent // not caused by the server
-	case resp != nil:
+	case ctx.Err() == nil && resp != nil:
 		return balancer.Overloaded // the server responded without reading the whole request
 	}
-	return balancer.Unreachable
+	return unwrittenResult(ctx)
 }
