--- a/cmd/umberbank-node/faults_test.go
+++ b/cmd/umberbank-node/faults_test.go
@@ -17,10 +17,10 @@
 	"time"
 )
 
-// faultSeeds and firstFaultSeed select the runs of TestProgramServerFaults. The long run has 50 seeds or more.
+// faultSeeds and firstFaultSeed select the runs of TestServerFaults. The long run has 50 seeds or more.
 var (
-	faultSeeds     = flag.Int("faults.seeds", 8, "number of runs of TestProgramServerFaults")
-	firstFaultSeed = flag.Uint64("faults.first", 1, "seed of the first run of TestProgramServerFaults")
+	faultSeeds     = flag.Int("faults.seeds", 8, "number of runs of TestServerFaults")
+	firstFaultSeed = flag.Uint64("faults.first", 1, "seed of the first run of TestServerFaults")
 )
 
 const (
@@ -53,7 +53,7 @@
 	faultKinds
 )
 
-// faultRun is one run of TestProgramServerFaults.
+// faultRun is one run of TestServerFaults.
 type faultRun struct {
 	listen string
 	end    time.Time
@@ -67,7 +67,7 @@
 
 // Servers that are silent, slow or broken in any part of a request do not keep a client from its final response in time. No
 // request runs twice or after its client has left, and no response that a server still writes is cut off.
-func TestProgramServerFaults(t *testing.T) {
+func TestServerFaults(t *testing.T) {
 	for seed := *firstFaultSeed; seed < *firstFaultSeed+uint64(*faultSeeds); seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			run := &faultRun{executed: map[string][]time.Time{}, left: map[string]time.Time{}, responses: map[int]int{}}
--- a/cmd/umberbank-node/flood_test.go
+++ b/cmd/umberbank-node/flood_test.go
@@ -48,7 +48,7 @@
 }
 
 // One client that sends requests at full speed leaves other clients their responses and the node its memory.
-func TestProgramFloodLeavesOthersServed(t *testing.T) {
+func TestFloodLeavesOthersServed(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "served") }))
 	defer server.Close()
 	for name, request := range floods {
