Node tests: more faults of servers, and clients that write slowly

Servers also send partial heads, endless interim responses, endless chunks, silent bodies of 500 and 503, and respond before they have read the body; half of the clients write in pieces, with pauses that add up to more than their time.

--- a/cmd/umberbank-node/faults_test.go
+++ b/cmd/umberbank-node/faults_test.go
@@ -50,6 +50,12 @@
 	respondsWithError             // runs the request and responds with status 500
 	hangs                         // runs the request and does not respond
 	respondsLate                  // runs the request and responds when the client's time is over
+	partialHead                   // sends a part of the head of a response and then nothing
+	endlessInterim                // sends interim responses without an end
+	endlessChunks                 // sends a response without an end, in chunks
+	silentError                   // sends the head of a response with status 500 and then nothing of its body
+	silentUnprocessed             // the same with status 503, which says that the request was not run
+	respondsEarly                 // responds before it has read the body, and reads nothing more
 	faultKinds
 )
 
@@ -143,8 +149,11 @@
 		id := r.Header.Get("X-Correlation-Id")
 		fault := faultOf(id)
 		switch fault {
-		case stopsReading:
+		case stopsReading, respondsEarly:
 			if r.ContentLength != 0 {
+				if fault == respondsEarly {
+					f.respond(conn, id, noFault)
+				}
 				<-time.After(time.Until(f.end))
 				return
 			}
@@ -156,9 +165,11 @@
 		if err != nil {
 			return
 		}
-		f.mu.Lock()
-		f.executed[id] = append(f.executed[id], time.Now())
-		f.mu.Unlock()
+		if fault != silentUnprocessed {
+			f.mu.Lock()
+			f.executed[id] = append(f.executed[id], time.Now())
+			f.mu.Unlock()
+		}
 		if !f.respond(conn, id, fault) {
 			return
 		}
@@ -190,6 +201,17 @@
 		io.WriteString(conn, "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n")
 		return true
 	case hangs:
+	case partialHead:
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Le")
+	case endlessInterim:
+		f.repeat(conn, "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n")
+	case endlessChunks:
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		f.repeat(conn, "1\r\nx\r\n")
+	case silentError:
+		io.WriteString(conn, "HTTP/1.1 500 E\r\nContent-Length: 100\r\n\r\n")
+	case silentUnprocessed:
+		io.WriteString(conn, "HTTP/1.1 503 E\r\nX-Unprocessed: 1\r\nContent-Length: 100\r\n\r\n")
 	case respondsLate:
 		<-time.After(2 * faultTimeLeft)
 		return false
@@ -201,6 +223,16 @@
 	return false
 }
 
+// repeat writes text again and again until the node closes the connection or the run ends.
+func (f *faultRun) repeat(conn net.Conn, text string) {
+	for time.Now().Before(f.end) {
+		if _, err := io.WriteString(conn, text); err != nil {
+			return
+		}
+		<-time.After(faultTimeLeft / 30)
+	}
+}
+
 // faultOf returns the fault that a correlation ID names.
 func faultOf(id string) serverFault {
 	_, rest, _ := strings.Cut(id, "-")
@@ -244,9 +276,10 @@
 	leaves := c.random.IntN(4) == 0
 	stay := time.Duration(c.random.Int64N(int64(faultTimeLeft)))
 	text := c.text(class, id)
+	pieces := 1 + 3*c.random.IntN(2)
 	wrote := make(chan time.Time, 1)
 	go func() {
-		io.WriteString(conn, text)
+		writeInPieces(conn, text, pieces)
 		wrote <- time.Now()
 	}()
 	responded := make(chan struct{})
@@ -257,6 +290,18 @@
 	c.await(conn, id, fault, wrote, responded)
 }
 
+// writeInPieces writes text in pieces with pauses, in all for longer than the client waits once it has written it.
+func writeInPieces(conn net.Conn, text string, pieces int) {
+	for i := range pieces {
+		if i > 0 {
+			<-time.After(faultTimeLeft / 2)
+		}
+		if _, err := io.WriteString(conn, text[i*len(text)/pieces:(i+1)*len(text)/pieces]); err != nil {
+			return
+		}
+	}
+}
+
 // text returns a request with a random body and framing.
 func (c *faultClient) text(class, id string) string {
 	method, more, body := http.MethodGet, "", ""
@@ -316,7 +361,7 @@
 	if resp.StatusCode == http.StatusServiceUnavailable && ran && strings.HasPrefix(id, "pay") {
 		c.violation("%s was rejected after it had run", id)
 	}
-	if resp.StatusCode == http.StatusOK && fault != silentAfterBytes {
+	if resp.StatusCode == http.StatusOK && fault != silentAfterBytes && fault != endlessChunks {
 		c.checkBody(resp, id, fault)
 	}
 }
