--- a/cmd/umberbank-node/deadline_test.go
+++ b/cmd/umberbank-node/deadline_test.go
@@ -63,8 +63,7 @@
 // startNodeFor starts the program with one server.
 func startNodeFor(t *testing.T, server *httptest.Server) *process {
 	t.Helper()
-	config, _ := configFor(t, server, "127.0.0.1:1", "on_request")
-	return startProgram(t, config)
+	return configOf(server).start(t)
 }
 
 // writeRequest writes a request with the given class, header lines and body.
--- a/cmd/umberbank-node/disconnect_test.go
+++ b/cmd/umberbank-node/disconnect_test.go
@@ -104,12 +104,10 @@
 	for name, replaced := range map[string]bool{"same process": false, "replaced process": true} {
 		t.Run(name, func(t *testing.T) {
 			runs.Store(0)
-			config, text := configFor(t, server, "127.0.0.1:1", "on_request")
-			text = strings.Replace(text, `"read_like"`, `"non_idempotent"`, 1)
-			if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
-				t.Fatal(err)
-			}
-			start := inheritingPrograms(t, config)
+			config := configOf(server)
+			config.classes[0].effect = "non_idempotent"
+			path, _ := config.write(t)
+			start := inheritingPrograms(t, path)
 			p := start()
 			first := sendUnsafeRequest(t, p)
 			eventually(t, "the first run", func() bool { return runs.Load() == 1 })
--- a/cmd/umberbank-node/faults_test.go
+++ b/cmd/umberbank-node/faults_test.go
@@ -8,8 +8,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/http/httptest"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -90,23 +88,13 @@
 }
 
 func (f *faultRun) play(t *testing.T, random *rand.Rand) {
-	var server *httptest.Server
-	var targets []string
-	for i := range faultServers {
-		server = startRawServer(t, f.serve)
-		targets = append(targets, fmt.Sprintf(`{"uid":"s%d","endpoint":%q,"az":"a","state":"SERVING"}`, i, strings.TrimPrefix(server.URL, "http://")))
+	config := configOf()
+	for range faultServers {
+		config.servers = append(config.servers, startRawServer(t, f.serve))
 	}
-	config, text := configFor(t, server, "127.0.0.1:1", "on_request")
-	i, j := strings.Index(text, `"targets":[`)+len(`"targets":[`), strings.Index(text, `]},`)
-	text = text[:i] + strings.Join(targets, ",") + text[j:]
-	lane := `{"name":"pay","effect":"non_idempotent","target-ms":1000,"deadline-ms":2000},`
-	text = strings.Replace(text, `"lanes":[`, `"lanes":[`+lane, 1)
-	text = strings.Replace(text, `"registry-mode"`, `"rules":{"ask-within-ms":10000},"registry-mode"`, 1)
-	text = strings.Replace(text, `"max-attempts":3`, `"max-attempts":3,"cancelling":true`, 1)
-	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	f.listen = startProgram(t, config).listen
+	config.classes = append(config.classes, classConfig{"pay", "non_idempotent", time.Second, 2 * time.Second})
+	config.cancelling = true
+	f.listen = config.start(t).listen
 	f.end = time.Now().Add(faultDuration)
 	var running sync.WaitGroup
 	for c := range faultClients {
--- a/cmd/umberbank-node/flood_test.go
+++ b/cmd/umberbank-node/flood_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -58,15 +57,10 @@
 }
 
 func playFlood(t *testing.T, server *httptest.Server, request func(i int) string, flood floodFunc) {
-	path, text := configFor(t, server, "127.0.0.1:1", "on_request")
-	text = strings.Replace(text, `"memory_mb":192`, fmt.Sprintf(`"memory_mb":%d`, floodMemoryMB), 1)
-	lane := `{"name":"pay","effect":"non_idempotent","target-ms":1000,"deadline-ms":2000},`
-	text = strings.Replace(text, `"lanes":[`, `"lanes":[`+lane, 1)
-	text = strings.Replace(text, `"registry-mode"`, `"rules":{"ask-within-ms":10000},"registry-mode"`, 1)
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	p := startProgram(t, path)
+	config := configOf(server)
+	config.memoryMB = floodMemoryMB
+	config.classes = append(config.classes, classConfig{"pay", "non_idempotent", time.Second, 2 * time.Second})
+	p := config.start(t)
 	end := time.Now().Add(floodDuration)
 	var running sync.WaitGroup
 	var sent atomic.Int64
--- a/cmd/umberbank-node/main_test.go
+++ b/cmd/umberbank-node/main_test.go
@@ -20,7 +20,7 @@
 		io.WriteString(w, r.Header.Get("X-Correlation-Id"))
 	}))
 	defer server.Close()
-	config, text := configFor(t, server, "127.0.0.1:1", "on_request")
+	config, text := configOf(server).write(t)
 	p := startProgram(t, config)
 	if got := p.get("/health/ready"); got != "200 " {
 		t.Errorf("ready: %q", got)
@@ -76,7 +76,9 @@
 		"before it is ready": {syscall.SIGTERM}, "during a request": {syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP},
 	} {
 		t.Run(name, func(t *testing.T) {
-			config, _ := configFor(t, server, strings.TrimPrefix(silent.URL, "http://"), "pushed")
+			pushed := configOf(server)
+			pushed.discovery, pushed.mode = strings.TrimPrefix(silent.URL, "http://"), "pushed"
+			config, _ := pushed.write(t)
 			p := startProgram(t, config)
 			got := make(chan string, 1)
 			if len(signals) > 1 {
@@ -120,12 +122,10 @@
 	}))
 	defer silent.Close()
 	defer silent.CloseClientConnections()
-	config, text := configFor(t, server, strings.TrimPrefix(silent.URL, "http://"), "pushed")
-	text = strings.Replace(text, `"sockets":1024`, `"sockets":96`, 1)
-	text = strings.Replace(text, `"seed"`, `"control":"127.0.0.1:0","seed"`, 1)
-	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	scarce := configOf(server)
+	scarce.discovery, scarce.mode = strings.TrimPrefix(silent.URL, "http://"), "pushed"
+	scarce.sockets, scarce.control = 96, "127.0.0.1:0"
+	config, _ := scarce.write(t)
 	p := startProgram(t, config, "ulimit -n 96; ")
 	for range 150 {
 		c, err := net.Dial("tcp", p.listen)
--- a/cmd/umberbank-node/memory_test.go
+++ b/cmd/umberbank-node/memory_test.go
@@ -106,12 +106,9 @@
 
 // playCrowd starts a node and clients of the given kinds, which come again once they have left, and checks the peak memory.
 func playCrowd(t *testing.T, server *httptest.Server, kinds []crowdClient) {
-	path, text := configFor(t, server, "127.0.0.1:1", "on_request")
-	text = strings.Replace(text, `"memory_mb":192`, fmt.Sprintf(`"memory_mb":%d`, crowdMemoryMB), 1)
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	p := startProgram(t, path)
+	config := configOf(server)
+	config.memoryMB = crowdMemoryMB
+	p := config.start(t)
 	end := time.Now().Add(crowdDuration)
 	var running sync.WaitGroup
 	for i := range crowdClients {
--- a/cmd/umberbank-node/program_test.go
+++ b/cmd/umberbank-node/program_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -62,20 +61,6 @@
 	return cmd
 }
 
-// configFor writes the configuration of a node with one server, and returns its path and text.
-func configFor(t *testing.T, server *httptest.Server, discovery, mode string) (path, text string) {
-	t.Helper()
-	path = filepath.Join(t.TempDir(), "config.json")
-	text = fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1f","limits":{"cores":1,"memory_mb":192,"sockets":1024},
-		"known":{"rev":1,"all":true,"targets":[{"uid":"s","endpoint":%q,"az":"a","state":"SERVING"}]},
-		"settings":{"lanes":[{"name":"read","effect":"read_like","target-ms":1000,"deadline-ms":2000}],"limits":{"max-attempts":3},"registry-mode":%q}}`,
-		discovery, strings.TrimPrefix(server.URL, "http://"), mode)
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	return path, text
-}
-
 // process is a running program and the lines that it has logged.
 type process struct {
 	cmd    *exec.Cmd
--- a/cmd/umberbank-node/soak_test.go
+++ b/cmd/umberbank-node/soak_test.go
@@ -28,6 +28,7 @@
 // open new connections until soakLastDial after SIGTERM.
 const (
 	soakServers   = 3
+	soakObjective = 300 * time.Millisecond
 	soakDeadline  = 600 * time.Millisecond
 	soakKillAfter = soakDeadline + 700*time.Millisecond
 	soakLastDial  = 300 * time.Millisecond
@@ -75,25 +76,18 @@
 }
 
 func (s *soak) run(t *testing.T) {
-	var targets []string
-	var server *httptest.Server
-	for i := range soakServers {
-		server = httptest.NewServer(http.HandlerFunc(s.serve))
+	config := configOf()
+	for range soakServers {
+		server := httptest.NewServer(http.HandlerFunc(s.serve))
 		defer server.Close()
 		defer server.CloseClientConnections()
-		targets = append(targets, fmt.Sprintf(`{"uid":"s%d","endpoint":%q,"az":"a","state":"SERVING"}`, i, strings.TrimPrefix(server.URL, "http://")))
+		config.servers = append(config.servers, server)
 	}
-	config, text := configFor(t, server, "127.0.0.1:1", "on_request")
-	i, j := strings.Index(text, `"targets":[`)+len(`"targets":[`), strings.Index(text, `]},`)
-	text = text[:i] + strings.Join(targets, ",") + text[j:]
-	lanes := fmt.Sprintf(`{"name":"read","effect":"read_like","target-ms":300,"deadline-ms":%d},{"name":"pay","effect":"non_idempotent","target-ms":300,"deadline-ms":%[1]d}`,
-		soakDeadline.Milliseconds())
-	i, j = strings.Index(text, `{"name":"read"`), strings.Index(text, `],"limits":{"max-attempts"`)
-	text = text[:i] + lanes + text[j:]
-	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
+	config.classes = []classConfig{
+		{"read", "read_like", soakObjective, soakDeadline},
+		{"pay", "non_idempotent", soakObjective, soakDeadline},
 	}
-	s.process = startProgram(t, config)
+	s.process = config.start(t)
 	clients := 8
 	if s.random.IntN(3) == 0 { // a crowd
 		clients = 60
--- a/cmd/umberbank-node/start_test.go
+++ b/cmd/umberbank-node/start_test.go
@@ -16,7 +16,9 @@
 func TestProgramStartFaults(t *testing.T) {
 	server := httptest.NewServer(http.NotFoundHandler())
 	defer server.Close()
-	valid, _ := configFor(t, server, "127.0.0.1:1", "pushed")
+	config := configOf(server)
+	config.mode = "pushed"
+	valid, _ := config.write(t)
 	dir := t.TempDir()
 	bad := filepath.Join(dir, "bad.json")
 	if err := os.WriteFile(bad, []byte(`{"listen":7}`), 0o600); err != nil {
