--- a/cmd/umberbank-node/soak_test.go
+++ b/cmd/umberbank-node/soak_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"flag"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -41,6 +42,7 @@
 // soak is one run: a process that gets signals in series, its server, and clients that use their connections until the kill.
 type soak struct {
 	process *process
+	seed    uint64
 	random  *rand.Rand // used before the clients start
 	killed  chan struct{}
 	lastID  atomic.Int64
@@ -58,7 +60,7 @@
 func TestSoak(t *testing.T) {
 	for seed := *firstSoakSeed; seed < *firstSoakSeed+uint64(*soakSeeds); seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			s := &soak{random: rand.New(rand.NewPCG(seed, 1)), killed: make(chan struct{}), executions: map[string]int{}}
+			s := &soak{seed: seed, random: rand.New(rand.NewPCG(seed, 1)), killed: make(chan struct{}), executions: map[string]int{}}
 			s.run(t)
 			for id, n := range s.executions {
 				if n > 1 && strings.HasPrefix(id, "pay") {
@@ -134,7 +136,7 @@
 	s.mu.Lock()
 	s.executions[id]++
 	s.mu.Unlock()
-	switch latency := rand.IntN(20); latency {
+	switch latency := s.drawLatency(id); latency {
 	case 0:
 		panic(http.ErrAbortHandler)
 	case 1, 2, 3:
@@ -145,6 +147,13 @@
 	io.WriteString(w, id)
 }
 
+// drawLatency draws the latency of a request in steps of 10 ms, or one of the values that serve treats otherwise.
+func (s *soak) drawLatency(id string) int {
+	hash := fnv.New64a()
+	hash.Write([]byte(id))
+	return rand.New(rand.NewPCG(s.seed, hash.Sum64())).IntN(20)
+}
+
 func (s *soak) wasExecuted(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
