--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -95,6 +95,9 @@
 	r, release, err := f.read(w, hr)
 	if err != nil {
 		f.loop.ends.notAccepted(hr, err)
+		if rejectionStatus(err) == http.StatusServiceUnavailable {
+			f.metrics.CountResponse(className(hr), http.StatusServiceUnavailable, false)
+		}
 		reject(w, err)
 		return
 	}
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -23,8 +23,8 @@
 	holder := nodetest.Dial(t, n.Addr().String())
 	io.WriteString(holder, head("POST", "/read/1", "Content-Length: 60000\r\n"))
 	nodetest.Eventually(t, "no memory left", func() bool {
-		ctx, cancel := context.WithCancel(t.Context())
-		cancel()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
 		release, err := n.loop.pool.RequestBudget().Reserve(ctx, bodybudget.MaxBufferedBytes)
 		if err == nil {
 			release()
@@ -38,4 +38,7 @@
 	if after := time.Since(began); err != nil || resp.StatusCode != http.StatusServiceUnavailable || after > timeLeft+slack {
 		t.Errorf("got %+v, %v after %v", resp, err, after)
 	}
+	if figures := n.loop.metrics.JSON(); !strings.Contains(figures, `"read":{"succeeded":0,"declined":1,`) {
+		t.Errorf("the rejection is not counted: %s", figures)
+	}
 }
--- a/internal/node/read.go
+++ b/internal/node/read.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	class, _, _ := strings.Cut(strings.TrimPrefix(hr.URL.Path, "/"), "/")
+	class := className(hr)
 	if err := f.check(hr, class); err != nil {
 		return nil, nil, err
 	}
@@ -60,6 +60,12 @@
 	return nil, nil, err
 }
 
+// className returns the name of a request's class, which is the first part of its path.
+func className(hr *http.Request) string {
+	class, _, _ := strings.Cut(strings.TrimPrefix(hr.URL.Path, "/"), "/")
+	return class
+}
+
 // check returns an error if a request must be rejected because of its head.
 func (f *frontend) check(hr *http.Request, class string) error {
 	switch {
