--- a/internal/node/metrics/metrics.go
+++ b/internal/node/metrics/metrics.go
@@ -139,11 +139,19 @@
 		EndpointsEjected: m.EndpointsEjected.Load(),
 		ReloadsApplied:   m.ReloadsApplied.Load(),
 		ReloadsRejected:  m.ReloadsRejected.Load(),
-		AttemptEnds:      m.attemptEnds,
-		RequestEnds:      m.requestEnds,
+		AttemptEnds:      orEmpty(m.attemptEnds),
+		RequestEnds:      orEmpty(m.requestEnds),
 	})
 	if err != nil {
 		return "fail " + err.Error()
 	}
 	return string(text)
 }
+
+// orEmpty returns counts, or an empty map in place of nil, which JSON would show as null.
+func orEmpty[K comparable](counts map[K]int64) map[K]int64 {
+	if counts == nil {
+		return map[K]int64{}
+	}
+	return counts
+}
--- a/internal/node/metrics/metrics_test.go
+++ b/internal/node/metrics/metrics_test.go
@@ -1,6 +1,7 @@
 package metrics
 
 import (
+	"strings"
 	"testing"
 
 	"umberbank/internal/node/nodetest"
@@ -28,3 +29,10 @@
 	m.CountRequestEnd(NoDecision)
 	nodetest.Golden(t, "figures.golden", m.JSON()+"\n")
 }
+
+// Without any end, the report has empty objects.
+func TestMetricsWithoutEnds(t *testing.T) {
+	if got := (&Metrics{}).JSON(); !strings.Contains(got, `"attempt_ends":{},"request_ends":{}`) {
+		t.Errorf("got %s", got)
+	}
+}
