--- a/internal/node/clientconn/arrival.go
+++ b/internal/node/clientconn/arrival.go
@@ -1,9 +1,7 @@
 package clientconn
 
 import (
-	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -73,7 +71,7 @@
 
 // receive reads from the connection itself and records whether the read had to wait for the client.
 func (c *Conn) receive(p []byte) (int, error) {
-	if hasUnread(c.Conn) {
+	if c.hasUnread() {
 		return c.Conn.Read(p)
 	}
 	c.arrival.beginWait()
@@ -83,30 +81,7 @@
 
 // hasUnread reports whether a read from the connection would return at once. It returns false if the
 // connection has no file descriptor.
-func hasUnread(conn net.Conn) bool {
-	ready, err := pollNow(conn, unix.POLLIN)
+func (c *Conn) hasUnread() bool {
+	ready, err := pollNow(c.raw, unix.POLLIN)
 	return err == nil && ready != 0
 }
-
-// pollNow returns which of the poll events hold for a connection now. POLLERR and POLLHUP are always
-// among those that are checked.
-func pollNow(conn net.Conn, events int16) (ready int16, err error) {
-	withDescriptor, ok := conn.(syscall.Conn)
-	if !ok {
-		return 0, errNoDescriptor
-	}
-	raw, err := withDescriptor.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	poll := []unix.PollFd{{Events: events}}
-	var pollErr error
-	err = raw.Control(func(descriptor uintptr) {
-		poll[0].Fd = int32(descriptor)
-		_, pollErr = unix.Poll(poll, 0)
-	})
-	if err == nil {
-		err = pollErr
-	}
-	return poll[0].Revents, err
-}
--- a/internal/node/clientconn/backlog.go
+++ b/internal/node/clientconn/backlog.go
@@ -15,18 +15,13 @@
 // Backlogged reports whether so many bytes are unread that a disconnect of the client may be hidden behind
 // them. It returns false if the connection has no file descriptor.
 func (c *Conn) Backlogged() bool {
-	withDescriptor, ok := c.Conn.(syscall.Conn)
-	if !ok || !hasUnread(c.Conn) {
-		return false
-	}
-	raw, err := withDescriptor.SyscallConn()
-	if err != nil {
+	if !c.hasUnread() {
 		return false
 	}
 	buffer := peekBuffers.Get().(*[maxBacklogBytes]byte)
 	defer peekBuffers.Put(buffer)
-	unread := 0
-	closed := raw.Control(func(descriptor uintptr) {
+	unread, err := 0, error(nil)
+	closed := c.raw.Control(func(descriptor uintptr) {
 		unread, _, err = syscall.Recvfrom(int(descriptor), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
 	return closed == nil && err == nil && unread == maxBacklogBytes
--- a/internal/node/clientconn/conn.go
+++ b/internal/node/clientconn/conn.go
@@ -7,14 +7,12 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
-// errNoDescriptor is returned for a connection without a file descriptor.
-var errNoDescriptor = errors.New("the connection has no file descriptor")
-
 // States of a connection.
 const (
 	stateIdle    int32 = iota // no bytes have arrived since the last request ended
@@ -45,7 +43,8 @@
 // use.
 type Conn struct {
 	net.Conn
-	release func() // releases the capacity; called once
+	raw     syscall.RawConn // nil if the connection has no file descriptor
+	release func()          // releases the capacity; called once
 
 	arrival      *arrivalTracker
 	head         headScanner
@@ -71,7 +70,7 @@
 	if tcp, isTCP := conn.(*net.TCPConn); isTCP {
 		_ = tcp.SetReadBuffer(receiveBufferBytes) // an error means that the connection is already closed
 	}
-	return &Conn{Conn: conn, release: release, arrival: newArrivalTracker()}
+	return &Conn{Conn: conn, raw: rawConn(conn), release: release, arrival: newArrivalTracker()}
 }
 
 // markIdle makes an active connection idle, unless bytes were read ahead. It is called when net/http
@@ -256,7 +255,7 @@
 // also returns true if this side has closed the connection, and false if the connection has no file
 // descriptor.
 func (c *Conn) Disconnected() bool {
-	ready, err := pollNow(c.Conn, unix.POLLRDHUP)
+	ready, err := pollNow(c.raw, unix.POLLRDHUP)
 	if errors.Is(err, net.ErrClosed) {
 		return true
 	}
