Review: a play in which the answer to a restore gets lost

Cause: the command that restores a backup repeats its request without an ID. Change: the play restore-twice, and links that lose what comes back on a connection.

--- a/review/harness-2/link.go
+++ b/review/harness-2/link.go
@@ -11,6 +11,8 @@
 type link struct {
 	listener net.Listener
 	target   string
+	// loses says, once for each connection, whether what comes back on it is lost, if set.
+	loses func() bool
 
 	mu     sync.Mutex
 	healed *sync.Cond
@@ -108,8 +110,15 @@
 	k.track(to, true)
 	defer k.track(to, false)
 	defer to.Close()
+	var back io.Writer = from
+	if k.loses != nil && k.loses() {
+		back = io.Discard
+	}
 	var copying sync.WaitGroup
-	for _, way := range []struct{ to, from net.Conn }{{to, from}, {from, to}} {
+	for _, way := range []struct {
+		to   io.Writer
+		from net.Conn
+	}{{to, from}, {back, to}} {
 		copying.Go(func() {
 			k.copy(way.to, way.from)
 			from.Close()
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -30,6 +30,7 @@
 	"late-answer":      playLateAnswer,
 	"hand-over":        playHandOver,
 	"leave-in-bursts":  playLeaveInBursts,
+	"restore-twice":    playRestoreTwice,
 	"restore":          playRestore,
 	"drain-and-cut":    playDrainAndCut,
 	"replica-apart":    playReplicaApart,
