--- a/review/harness-2/leave_in_bursts.go
+++ b/review/harness-2/leave_in_bursts.go
@@ -17,8 +17,10 @@
 	smallDescriptors = 256
 	burstClients     = 80
 
-	bursts        = 300
-	burstInterval = 150 * time.Millisecond
+	// After each burstsPerProbe bursts one client sends a request. The bursts end when it is not served, or after maxBurstTime.
+	maxBurstTime   = 70 * time.Second
+	burstsPerProbe = 100
+	burstInterval  = 150 * time.Millisecond
 	// longBytes is the length of an answer, which is over 64 KiB.
 	longBytes = 100_000
 	// After the bursts the node gets quietTime, and then ordinary clients send requests for ordinaryTime.
@@ -55,8 +57,12 @@
 	}
 	before := playOrdinary(s, n, "before")
 	s.record("figures before the bursts: %s", operatorCall(control, "vars"))
-	for i := range bursts {
+	began := time.Now()
+	for i := 0; time.Since(began) < maxBurstTime; i++ {
 		playBurst(s, n, i)
+		if (i+1)%burstsPerProbe == 0 && !isServed(s, n, i+1) {
+			break
+		}
 	}
 	s.record("figures after the bursts: %s", operatorCall(control, "vars"))
 	time.Sleep(quietTime)
@@ -101,6 +107,15 @@
 	return counts
 }
 
+// isServed reports whether one request is served after a number of bursts.
+func isServed(s *site, n *node, number int) bool {
+	c := &client{addr: n.addr, name: fmt.Sprintf("probe%d", number)}
+	defer c.close()
+	r := c.send("job-search", 2500*time.Millisecond)
+	s.record("%s: status %d, %d bytes, %v", r.id, r.status, len(r.body), r.err)
+	return r.status == http.StatusOK
+}
+
 // playBurst lets clients send requests for burstInterval. Then all leave at once, unless the case is without its disruption.
 func playBurst(s *site, n *node, number int) {
 	ctx, cancel := context.WithTimeout(context.Background(), burstInterval)
