--- a/review/harness-2/restart_without_registry.go
+++ b/review/harness-2/restart_without_registry.go
@@ -35,7 +35,7 @@
 	what   string
 }
 
-// playRestartWithoutRegistry kills a node that takes its settings from the registry and starts it again while the registry is
+// playRestartWithoutRegistry kills one of two nodes that take their settings from the registry, and starts it again while the registry is
 // down. The front has not noticed the death yet and sends clients there. What the node takes has to be answered.
 func playRestartWithoutRegistry(s *site) (violations []string, err error) {
 	r, err := s.startRegistry()
@@ -54,12 +54,14 @@
 	if err != nil {
 		return nil, err
 	}
-	n, err := s.startNode("n0", discovery.addr, targets, object{
-		"agreed": object{"endpoints": r.addrs[:], "tier": "front", "zone": "amman-dc", "sends_to": "gateway"},
-	})
+	agreed := object{"agreed": object{"endpoints": r.addrs[:], "tier": "front", "zone": "amman-dc", "sends_to": "gateway"}}
+	n, err := s.startNode("n0", discovery.addr, targets, agreed)
 	if err != nil {
 		return nil, err
 	}
+	if _, err := s.startNode("n1", discovery.addr, targets, agreed); err != nil {
+		return nil, err
+	}
 	if first := sendOnce(n.addr, "before"); first.status != http.StatusOK {
 		return nil, fmt.Errorf("a request before the trouble: %+v", first)
 	}
