--- a/review/harness-2/site.go
+++ b/review/harness-2/site.go
@@ -16,8 +16,15 @@
 	"time"
 )
 
-// loopback is the loopback address of this run, so that no other program takes a port between its choice and its use.
-var loopback = fmt.Sprintf("127.%d.%d.%d", 64+rand.IntN(128), rand.IntN(256), 1+rand.IntN(254))
+// loopback is the loopback address on which this run listens itself, and programLoopback the one of the programs that it starts, so
+// that nothing else takes a port between its choice and its use.
+var (
+	loopback        = fmt.Sprintf("127.%d.%d.%d", 64+rand.IntN(64), rand.IntN(256), 1+rand.IntN(254))
+	programLoopback = fmt.Sprintf("127.%d.%d.%d", 128+rand.IntN(64), rand.IntN(256), 1+rand.IntN(254))
+)
+
+// givenAddrs are the addresses that freeAddr has returned.
+var givenAddrs = map[string]bool{}
 
 // stopTimeout is how long a process may take to end after SIGTERM.
 const stopTimeout = 5 * time.Second
@@ -170,13 +177,22 @@
 	return out.String(), code, nil
 }
 
-// freeAddr returns a free address on loopback.
+// freeAddr returns a free address on loopback for a program. It returns each address once, and is called by one goroutine.
 func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", loopback+":0")
-	if err != nil {
-		return "", err
+	for {
+		l, err := net.Listen("tcp", programLoopback+":0")
+		if err != nil {
+			return "", err
+		}
+		addr := l.Addr().String()
+		if err := l.Close(); err != nil {
+			return "", err
+		}
+		if !givenAddrs[addr] {
+			givenAddrs[addr] = true
+			return addr, nil
+		}
 	}
-	return l.Addr().String(), l.Close()
 }
 
 // eventually waits until ok returns true.
