Node: OPTIONS * of an unknown peer gets an error, and no 200 of net/http

What callers saw: a peer that sent "OPTIONS *", with or without a correlation ID and a body, got a 200 with an empty body, which tells a client of the protocol that it was served. No server had got anything.

Cause: http.Server answers "OPTIONS *" by itself, before it calls the handler, unless DisableGeneralOptionsHandler is set. The frontend did not set it, so its check of the method never ran.

Evidence: five "OPTIONS *" leave request_ends.not_accepted at 0, five "OPTIONS /read/1" raise it to 5; so the handler was not called. With the option set, the same ten raise it to 10.

Change: the option is set. The frontend refuses the message like each other method, counts and logs it. TestImproperMessagesGetErrors sends 32 messages that are no request of the protocol as raw bytes.

--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -60,6 +60,8 @@
 		MaxHeaderBytes: maxHeaderBytes,
 		ConnContext:    clientconn.WithClient,
 		ConnState:      f.connStateChanged,
+		// Without this, net/http answers "OPTIONS *" with status 200 and does not call the handler.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
