Registry: replicas answer only what their API has, with no 200 or redirect of net/http

What callers saw: a replica answered "OPTIONS *" with 200, a path that is not clean with 307, and a HEAD like the GET of its path. A HEAD of a watch got a body that does not end, and held a watch.

Cause: the cause of "OPTIONS *" at a node, looked for elsewhere. http.Server answers "OPTIONS *" by itself, http.ServeMux redirects paths, and its patterns with GET take HEAD.

Change: the server's option is set, and a router of an exact path and its only method takes the place of the mux. 404 and 405 stay plain text, as the API says.

Result: before, TestRequestsOutsideTheAPI failed on 7 of 17 requests, six with a status under 400 and one (GET *) with 400 in place of 404. After, it passes 20 of 20 with -race, and the tests of internal/registry and internal/coordination pass.

--- a/internal/registry/replica/api.go
+++ b/internal/registry/replica/api.go
@@ -16,17 +16,17 @@
 
 // handler returns the handler of the API.
 func (r *Replica) handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+api.PathInstances, r.handleInstances)
-	mux.HandleFunc("GET "+api.PathCoordination, r.handleCoordination)
-	mux.HandleFunc("GET "+api.PathStatus, r.handleStatus)
-	mux.HandleFunc("GET "+api.PathBackup, r.handleBackup)
-	mux.HandleFunc("POST "+api.PathWrite, r.onLeader(r.handleWrite))
-	mux.HandleFunc("POST "+api.PathRestore, r.onLeader(r.handleRestore))
-	mux.HandleFunc("POST "+api.PathMembers, r.onLeader(r.handleMembers))
-	mux.HandleFunc("POST "+api.PathRenew, r.onLeader(r.handleRenew))
-	mux.Handle("GET "+api.PathMetrics, r.metrics.handler())
-	return mux
+	routes := router{}
+	routes.get(api.PathInstances, r.handleInstances)
+	routes.get(api.PathCoordination, r.handleCoordination)
+	routes.get(api.PathStatus, r.handleStatus)
+	routes.get(api.PathBackup, r.handleBackup)
+	routes.get(api.PathMetrics, r.metrics.handler().ServeHTTP)
+	routes.post(api.PathWrite, r.onLeader(r.handleWrite))
+	routes.post(api.PathRestore, r.onLeader(r.handleRestore))
+	routes.post(api.PathMembers, r.onLeader(r.handleMembers))
+	routes.post(api.PathRenew, r.onLeader(r.handleRenew))
+	return routes
 }
 
 // invalidRequestError is an error that the request itself has caused. reply sends it with status 400.
--- a/internal/registry/replica/replica.go
+++ b/internal/registry/replica/replica.go
@@ -85,7 +85,12 @@
 		return err
 	}
 	go r.runLeaderLoop()
-	r.http = &http.Server{Handler: r.handler(), ReadHeaderTimeout: requestTimeout}
+	r.http = &http.Server{
+		Handler:           r.handler(),
+		ReadHeaderTimeout: requestTimeout,
+		// Without this, net/http answers "OPTIONS *" with status 200 and does not call the handler.
+		DisableGeneralOptionsHandler: true,
+	}
 	go r.http.Serve(r.listener) //nolint:errcheck // Serve returns after Close or fail
 	r.serving.Store(true)
 	return nil
