Clients: a redirect is a failed attempt, and is not followed by net/http

What callers saw: nothing in service. A node took its list, an agent the readiness of its process, and a client of the registry the result of its write from an address that nobody had configured, if the configured address answered with a redirect; after a 307 a write was sent on with its body.

Cause: the cause of "OPTIONS *" at a node, looked for at the other end of a connection: http.Client answers a redirect by itself, with a request, unless CheckRedirect is set.

Change: each client of the programs, and the readiness checks of the lab, return a redirect as the response.

--- a/internal/coordination/agent/process.go
+++ b/internal/coordination/agent/process.go
@@ -9,6 +9,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"umberbank/internal/httpclient"
 )
 
 // process is the process of a unit. It is not safe for concurrent use.
@@ -98,13 +100,16 @@
 // exitStatus formats the result of cmd.Wait. It returns "<nil>" if the process has exited with status 0.
 func exitStatus(err error) string { return fmt.Sprint(err) }
 
+// readinessClient sends the readiness checks.
+var readinessClient = &http.Client{CheckRedirect: httpclient.ReturnRedirect}
+
 // isReady reports whether url returns status 200. It returns an error only if url is malformed.
 func isReady(ctx context.Context, url string) (bool, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return false, err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := readinessClient.Do(req)
 	if err != nil {
 		return false, nil // the process does not listen yet
 	}
--- a/internal/coordination/agent/process_test.go
+++ b/internal/coordination/agent/process_test.go
@@ -81,3 +81,14 @@
 		t.Errorf("exit status after stop is %v, want signal: killed", p.err)
 	}
 }
+
+// Guards against a process that counts as ready because another address, to which it redirects, returns status 200.
+func TestRedirectIsNotReady(t *testing.T) {
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer other.Close()
+	redirecting := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusFound))
+	defer redirecting.Close()
+	if ready, err := isReady(t.Context(), redirecting.URL); ready || err != nil {
+		t.Errorf("ready %v, %v", ready, err)
+	}
+}
--- a/internal/lab/cost/process.go
+++ b/internal/lab/cost/process.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"umberbank/internal/httpclient"
 	"umberbank/internal/process"
 )
 
@@ -49,9 +50,10 @@
 		return nil, err
 	}
 	p.pinned = pin(p.cmd.Process.Pid)
+	client := &http.Client{CheckRedirect: httpclient.ReturnRedirect}
 	deadline := time.Now().Add(startTimeout)
 	for {
-		resp, err := http.Get("http://" + addr + "/health/ready")
+		resp, err := client.Get("http://" + addr + "/health/ready")
 		if err == nil {
 			resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
--- a/internal/lab/fleet/process.go
+++ b/internal/lab/fleet/process.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"umberbank/internal/httpclient"
 	"umberbank/internal/lab/model"
 )
 
@@ -73,7 +74,10 @@
 func (f *Fleet) awaitReady(ctx context.Context, node int) error {
 	ctx, cancel := context.WithTimeout(ctx, f.world.Site.Limits.StartTimeout.Std())
 	defer cancel()
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{
+		Transport:     &http.Transport{DisableKeepAlives: true},
+		CheckRedirect: httpclient.ReturnRedirect,
+	}
 	for {
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.nodeAddr(node)+"/health/ready", nil)
 		if err != nil {
--- a/internal/node/discovery/client.go
+++ b/internal/node/discovery/client.go
@@ -17,6 +17,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"umberbank/internal/httpclient"
 )
 
 const (
@@ -87,7 +89,10 @@
 		Addr:           addr,
 		SilenceTimeout: SilenceTimeout,
 		LineTimeout:    defaultLineTimeout,
-		http:           &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		http: &http.Client{
+			Transport:     &http.Transport{DisableKeepAlives: true},
+			CheckRedirect: httpclient.ReturnRedirect,
+		},
 	}
 }
 
--- a/internal/node/discovery/client_test.go
+++ b/internal/node/discovery/client_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -108,3 +109,23 @@
 func handler(update func(Update)) Handler {
 	return Handler{Opened: func() {}, Heartbeat: func() {}, Update: update}
 }
+
+// Guards against a list from an address that is not the configured one: a redirect fails a poll and a watch, and is not followed.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	t.Parallel()
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		t.Error("the redirect was followed")
+		io.WriteString(w, nodetest.Message(9, true, nodetest.Target("a", "SERVING"))+"\n")
+	}))
+	t.Cleanup(other.Close)
+	redirecting := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusTemporaryRedirect))
+	t.Cleanup(redirecting.Close)
+	d := NewClient(strings.TrimPrefix(redirecting.URL, "http://"))
+	const want = "discovery answers 307 Temporary Redirect"
+	if u, err := d.Fetch(t.Context()); err == nil || err.Error() != want {
+		t.Errorf("Fetch: %+v, %v, want %s", u, err, want)
+	}
+	if err := d.Watch(t.Context(), 0, handler(func(Update) {})); err == nil || err.Error() != want {
+		t.Errorf("Watch: %v, want %s", err, want)
+	}
+}
--- a/internal/registry/client/client.go
+++ b/internal/registry/client/client.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"umberbank/internal/httpclient"
 	"umberbank/internal/registry/api"
 	"umberbank/internal/registry/state"
 )
@@ -38,7 +39,11 @@
 	if err := opt.setDefaults(); err != nil {
 		return nil, err
 	}
-	c := &Client{opt: opt, http: &http.Client{Timeout: callTimeout}, current: mathrand.IntN(len(opt.Endpoints))}
+	c := &Client{
+		opt:     opt,
+		http:    &http.Client{Timeout: callTimeout, CheckRedirect: httpclient.ReturnRedirect},
+		current: mathrand.IntN(len(opt.Endpoints)),
+	}
 	if opt.Dial != nil {
 		transport := http.DefaultTransport.(*http.Transport).Clone() // no code replaces the default transport
 		transport.DialContext = opt.Dial
--- a/internal/registry/client/watcher.go
+++ b/internal/registry/client/watcher.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"umberbank/internal/httpclient"
 	"umberbank/internal/registry/api"
 	"umberbank/internal/registry/state"
 )
@@ -52,8 +53,11 @@
 		return nil, err
 	}
 	w := &Watcher{
-		opt:       opt,
-		http:      &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: opt.Dial}},
+		opt: opt,
+		http: &http.Client{
+			Transport:     &http.Transport{DisableKeepAlives: true, DialContext: opt.Dial},
+			CheckRedirect: httpclient.ReturnRedirect,
+		},
 		instances: map[string]*state.Instance{},
 	}
 	if opt.CacheDir != "" {
--- a/internal/registry/replica/forward.go
+++ b/internal/registry/replica/forward.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 
+	"umberbank/internal/httpclient"
 	"umberbank/internal/registry/api"
 	"umberbank/internal/registry/state"
 )
@@ -51,7 +52,10 @@
 // newForwardWaitingClient returns the client that forwards watches, whose responses do not end, and polls, whose responses begin
 // after the time that they wait. Only the time until a response begins is limited.
 func newForwardWaitingClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{ResponseHeaderTimeout: requestTimeout + maxPollWait}}
+	return &http.Client{
+		Transport:     &http.Transport{ResponseHeaderTimeout: requestTimeout + maxPollWait},
+		CheckRedirect: httpclient.ReturnRedirect,
+	}
 }
 
 // flushWriter sends each write to the client at once.
--- a/internal/registry/replica/replica.go
+++ b/internal/registry/replica/replica.go
@@ -13,6 +13,8 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+
+	"umberbank/internal/httpclient"
 )
 
 // requestTimeout bounds the time until raft accepts a write, a request that is forwarded to the leader, and the time in which a
@@ -49,7 +51,7 @@
 	r := &Replica{
 		cfg:            cfg,
 		fsm:            newFSM(),
-		forward:        &http.Client{Timeout: requestTimeout},
+		forward:        &http.Client{Timeout: requestTimeout, CheckRedirect: httpclient.ReturnRedirect},
 		forwardWaiting: newForwardWaitingClient(),
 		renewals:       make(chan renewRequest),
 		failed:         make(chan error, 1),
