Guard: no server or client of the programs leaves an answer to net/http

The stand-ins of the lab and the client of the node's tests set them too. The handler of staticDiscovery has a name.

--- a/internal/lab/cost/subjects.go
+++ b/internal/lab/cost/subjects.go
@@ -86,7 +86,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("/health/ready", func(http.ResponseWriter, *http.Request) {})
 	mux.Handle("/", proxy)
-	srv := &http.Server{Addr: listen, Handler: mux}
+	srv := &http.Server{Addr: listen, Handler: mux, DisableGeneralOptionsHandler: true}
 	stop := context.AfterFunc(ctx, func() { srv.Close() })
 	defer stop()
 	if err := srv.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/lab/fleet/agent.go
+++ b/internal/lab/fleet/agent.go
@@ -142,7 +142,7 @@
 		l := f.world.Directory.List(i)
 		a := &discoveryAgent{addr: ln.Addr().String(), changed: make(chan struct{}), revision: l.Revision + 1, fullList: f.encodeList(i, l)}
 		f.agents = append(f.agents, a)
-		f.serveHTTP(ln, &http.Server{Handler: a})
+		f.serveHTTP(ln, &http.Server{Handler: a, DisableGeneralOptionsHandler: true})
 	}
 	return nil
 }
--- a/internal/lab/fleet/servers.go
+++ b/internal/lab/fleet/servers.go
@@ -37,7 +37,8 @@
 			ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
 				return context.WithValue(ctx, connectionKey{}, &connectionState{linkEnd: ctx.Value(connectionKey{}).(linkEnd)})
 			},
-			IdleTimeout: f.world.Site.Limits.IdleTimeout.Std(),
+			IdleTimeout:                  f.world.Site.Limits.IdleTimeout.Std(),
+			DisableGeneralOptionsHandler: true,
 		}
 		open := &atomic.Int64{}
 		for n := range f.world.Site.Nodes {
--- a/internal/lab/scale/staticdiscovery.go
+++ b/internal/lab/scale/staticdiscovery.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &staticDiscovery{listener: ln, server: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+	serve := func(w http.ResponseWriter, q *http.Request) {
 		w.Write(list)
 		if q.URL.Query().Get("follow") == "" {
 			return
@@ -37,7 +37,11 @@
 				return
 			}
 		}
-	})}}
+	}
+	s := &staticDiscovery{listener: ln, server: &http.Server{
+		Handler:                      http.HandlerFunc(serve),
+		DisableGeneralOptionsHandler: true,
+	}}
 	go func() { _ = s.server.Serve(ln) }() // returns when close is called
 	return s, nil
 }
--- a/internal/node/nodetest/nodetest.go
+++ b/internal/node/nodetest/nodetest.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"umberbank/internal/httpclient"
 )
 
 // Timeout limits every wait of the tests. A test that succeeds never waits until it expires.
@@ -141,7 +143,11 @@
 // Do sends a request over a new connection, and returns the response and its body.
 func Do(t *testing.T, r *http.Request) (*http.Response, string) {
 	t.Helper()
-	c := &http.Client{Timeout: Timeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	c := &http.Client{
+		Timeout:       Timeout,
+		Transport:     &http.Transport{DisableKeepAlives: true},
+		CheckRedirect: httpclient.ReturnRedirect,
+	}
 	resp, err := c.Do(r)
 	if err != nil {
 		t.Fatal(err)
