Registry: a replica closes the connections of peers that stop sending

What callers saw: nothing in service. A peer that announced a body and did not send it got no answer from a replica and held a connection and a goroutine for good, as did one that sent nothing more after a response.

Cause: only the time for a request's head was limited. http.Server by itself limits neither a body nor the time between requests, and it reads a body that no handler asks for before it sends the response.

Change: 30 s for a request with its body, 2 minutes between requests. Clients of net/http close their idle connections after 90 s. Polls and watches that wait for longer go on.

--- a/internal/registry/replica/config.go
+++ b/internal/registry/replica/config.go
@@ -36,11 +36,19 @@
 	// file contains. If empty, or if the file does not exist, there is no delay.
 	SyncDelayFile string
 	Logger        *slog.Logger // nil discards all messages
+
+	readTimeout, idleTimeout time.Duration // override requestReadTimeout and clientIdleTimeout in tests
 }
 
 const (
 	defaultTick              = 100 * time.Millisecond
 	defaultSnapshotThreshold = 8192
+
+	// requestReadTimeout limits the time in which a client must send a request with its body.
+	requestReadTimeout = 30 * time.Second
+	// clientIdleTimeout is how long a client's connection may be idle. net/http's clients close theirs after 90 s, so that no
+	// request of theirs meets the close.
+	clientIdleTimeout = 2 * time.Minute
 )
 
 func (c *Config) setDefaults() {
@@ -53,6 +61,8 @@
 	if c.SnapshotThreshold == 0 {
 		c.SnapshotThreshold = defaultSnapshotThreshold
 	}
+	c.readTimeout = cmp.Or(c.readTimeout, requestReadTimeout)
+	c.idleTimeout = cmp.Or(c.idleTimeout, clientIdleTimeout)
 }
 
 // ServerAddr returns the address at which to connect to a replica. Raft calls it before each connection, and after an error
--- a/internal/registry/replica/helpers_test.go
+++ b/internal/registry/replica/helpers_test.go
@@ -30,10 +30,16 @@
 
 // startReplica starts a registry of one replica on a data directory.
 func startReplica(t *testing.T, dir string) (*Replica, error) {
+	t.Helper()
+	return New(replicaConfig(t, dir))
+}
+
+// replicaConfig returns the configuration of a registry of one replica on a data directory.
+func replicaConfig(t *testing.T, dir string) Config {
 	t.Helper()
 	a, b := freeAddr(t), freeAddr(t)
-	return New(Config{ID: "r0", DataDir: dir, RaftAddress: a, ClientAddress: b, Peers: []Peer{{ID: "r0", RaftAddress: a, ClientAddress: b}}, Tick: 20 * time.Millisecond,
-		SnapshotThreshold: 40, Guard: ExpiryGuard{MaxZoneFraction: 0.3, MinExpired: 5, Window: time.Second, ConfirmAfter: time.Second}})
+	return Config{ID: "r0", DataDir: dir, RaftAddress: a, ClientAddress: b, Peers: []Peer{{ID: "r0", RaftAddress: a, ClientAddress: b}}, Tick: 20 * time.Millisecond,
+		SnapshotThreshold: 40, Guard: ExpiryGuard{MaxZoneFraction: 0.3, MinExpired: 5, Window: time.Second, ConfirmAfter: time.Second}}
 }
 
 // write sends ops to a replica and returns their results.
@@ -61,7 +67,13 @@
 // address, which is the first write of a new leader.
 func startLeader(t *testing.T, dir string) *Replica {
 	t.Helper()
-	r, err := startReplica(t, dir)
+	return startConfiguredLeader(t, replicaConfig(t, dir))
+}
+
+// startConfiguredLeader is startLeader with a configuration.
+func startConfiguredLeader(t *testing.T, cfg Config) *Replica {
+	t.Helper()
+	r, err := New(cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/registry/replica/replica.go
+++ b/internal/registry/replica/replica.go
@@ -90,6 +90,8 @@
 	r.http = &http.Server{
 		Handler:           r.handler(),
 		ReadHeaderTimeout: requestTimeout,
+		ReadTimeout:       r.cfg.readTimeout,
+		IdleTimeout:       r.cfg.idleTimeout,
 		// Without this, net/http answers "OPTIONS *" with status 200 and does not call the handler.
 		DisableGeneralOptionsHandler: true,
 	}
