Node: a GET of a class that is not safe to repeat gets an error, and no server's 200

What callers saw: nothing in service. A peer that sent a GET of a class that takes POST was served, although the protocol gives the method by the class, so that its message is no request.

Cause: the frontend compared the method with GET and POST, and not with the class.

Change: classes.check, which knows the class, refuses it with 400, also after a change of settings. A POST of a class that is safe to repeat is served as before.

Result: before, TestImproperMessagesGetErrors failed on the two messages that are new in it.

--- a/internal/node/classes.go
+++ b/internal/node/classes.go
@@ -24,13 +24,15 @@
 	return &c
 }
 
-// check returns an error if a request of the class with the given name and with headers h must be rejected.
-func (c *classes) check(name string, h http.Header) error {
+// check returns an error if a request of the class with the given name must be rejected because of its method or its headers.
+func (c *classes) check(name string, hr *http.Request) error {
 	class, known := (*c)[name]
 	switch {
 	case !known:
 		return fmt.Errorf("the class %q: %w", name, errUnknownClass)
-	case class.Effect == balancer.WithIdempotencyKey && h.Get(header.IdempotencyKey) == "":
+	case class.Effect != balancer.Idempotent && hr.Method == http.MethodGet:
+		return fmt.Errorf("the class %q takes no GET", name)
+	case class.Effect == balancer.WithIdempotencyKey && hr.Header.Get(header.IdempotencyKey) == "":
 		// Without a key, servers cannot detect retries and would run each of them.
 		return errors.New("Idempotency-Key is missing")
 	}
--- a/internal/node/improper_test.go
+++ b/internal/node/improper_test.go
@@ -46,6 +46,8 @@
 	"no correlation ID":                  {strings.Replace(readRequest, "X-Correlation-Id: c-1\r\n", "", 1), 400},
 	"no time left":                       {strings.Replace(readRequest, "X-Time-Left: 9000m\r\n", "", 1), 400},
 	"no key":                             {head("POST", "/send/1", ""), 400},
+	"GET of a class with a key":          {head("GET", "/send/1", "Idempotency-Key: k\r\n"), 400},
+	"GET of a class that may run once":   {head("GET", "/order/1", ""), 400},
 	"many lines":                         {head("GET", "/read/1", strings.Repeat("A: b\r\n", 200)), 400},
 }
 
--- a/internal/node/read.go
+++ b/internal/node/read.go
@@ -76,7 +76,7 @@
 	case hr.Header.Get(header.CorrelationID) == "":
 		return errors.New("X-Correlation-Id is missing")
 	}
-	if err := f.loop.classes.Load().check(class, hr.Header); err != nil {
+	if err := f.loop.classes.Load().check(class, hr); err != nil {
 		return err
 	}
 	if hr.ContentLength > bodybudget.MaxBodyBytes {
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -68,7 +68,7 @@
 // accept registers a request from the frontend and passes it to the balancer.
 func (l *loop) accept(r *request) {
 	// The settings may have changed since the frontend checked the request.
-	if err := l.classes.Load().check(r.className, r.outgoing.Header); err != nil {
+	if err := l.classes.Load().check(r.className, r.outgoing); err != nil {
 		r.response <- clientResponse{rejection: err}
 		return
 	}
