Node: the list counts as ready once the balancer has it

Cause: recordUpdate marked the list as ready at the start of applyUpdate, and the balancer gets the list at its end, so that Run could begin to serve in between.

Change: applyUpdate marks the list as ready when it has handed it to the balancer.

--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -27,6 +27,9 @@
 	}
 	l.metrics.EndpointsListed.Store(int64(len(l.endpoints)))
 	l.handle(event)
+	if !cached {
+		l.watcher.markListReady()
+	}
 }
 
 // applyEntry applies one entry of the endpoint list to the endpoints that attempts use. endpoint is the same entry in the
--- a/internal/node/watcher.go
+++ b/internal/node/watcher.go
@@ -100,14 +100,9 @@
 }
 
 // recordUpdate records the revision of an update that the loop applies.
-func (w *watcher) recordUpdate(revision int64, cached bool) {
-	w.revision, w.cached = revision, cached
-	if !cached {
-		w.markListReady()
-	}
-}
+func (w *watcher) recordUpdate(revision int64, cached bool) { w.revision, w.cached = revision, cached }
 
-// markListReady records that the list is as new as that of discovery.
+// markListReady records that the list is as new as that of discovery, and that the balancer has it.
 func (w *watcher) markListReady() {
 	if !w.isListReady {
 		w.isListReady = true
