Node: a version of settings stays applicable when the node's file has new keys

Cause: the version in force was applied as a reload of the file that the process had just started with, and a reload refuses settings that lack a key of that file. That check is for files that were cut off.

Change: a version that the fleet runs is applied if its settings are valid, whatever further keys the file has. Proposed versions, and files at SIGHUP, are checked against the keys as before.

--- a/internal/node/config/reload.go
+++ b/internal/node/config/reload.go
@@ -15,19 +15,25 @@
 
 // CheckReload returns an error if next cannot replace c while the node runs. It is stricter than a
 // start. Every key of c's file must also be in next's, with a value of the same JSON type, except for
-// optionalKeys, keys whose value is null in c's file, and the content of "known". The maximum number of
-// attempts must be above zero, and no two classes may have the same name.
+// optionalKeys, keys whose value is null in c's file, and the content of "known". The settings must pass
+// CheckSettings.
 func (c Config) CheckReload(next Config) error {
 	if err := checkSameKeys("", c.document, next.document); err != nil {
 		return err
 	}
-	if err := next.Settings.Validate(); err != nil {
+	return next.CheckSettings()
+}
+
+// CheckSettings returns an error if a running node cannot use the settings of c. The maximum number of
+// attempts must be above zero, and no two classes may have the same name.
+func (c Config) CheckSettings() error {
+	if err := c.Settings.Validate(); err != nil {
 		return err
 	}
-	if next.Settings.MaxAttempts <= 0 {
+	if c.Settings.MaxAttempts <= 0 {
 		return errors.New("settings.limits.max-attempts is not over 0")
 	}
-	if hasDuplicateClass(next.Settings.Classes) {
+	if hasDuplicateClass(c.Settings.Classes) {
 		return errors.New("settings.lanes: duplicate name")
 	}
 	return nil
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -39,6 +39,12 @@
 		n.loop.metrics.ReloadsRejected.Add(1)
 		return err
 	}
+	n.replace(cfg)
+	return nil
+}
+
+// replace makes the node run with cfg, which must have been checked. n.reloadMu must be held.
+func (n *Node) replace(cfg config.Config) {
 	n.current = cfg
 	n.loop.post(func() {
 		n.loop.reconfigure(cfg)
@@ -47,7 +53,6 @@
 		// Operators search for this line; see docs/oncall/settings.md.
 		slog.Info(fmt.Sprintf("reloaded: discovery at %s", cfg.Discovery))
 	})
-	return nil
 }
 
 // newFollower returns the follower of settings rollouts, or nil if none is configured. running is the version that the
@@ -80,7 +85,8 @@
 	return n.current.CheckReload(cfg)
 }
 
-// applySettings applies settings from a rollout, with the same effect as a reload of a file that contains them.
+// applySettings applies the settings of a version that the fleet runs, with the same effect as a reload of a file that contains
+// them. They may lack keys of this node's file, which can be newer than the version; their hash shows that they are complete.
 func (n *Node) applySettings(settings json.RawMessage) error {
 	n.reloadMu.Lock()
 	defer n.reloadMu.Unlock()
@@ -88,9 +94,11 @@
 	if err != nil {
 		return err
 	}
-	if err := n.apply(cfg); err != nil {
+	if err := cfg.CheckSettings(); err != nil {
+		n.loop.metrics.ReloadsRejected.Add(1)
 		return err
 	}
+	n.replace(cfg)
 	n.rolloutSettings = settings
 	return nil
 }
