Node: a node that is not ready answers what it takes, in its time

What callers saw: a node that follows versions of settings was killed and started again.

Cause: New opens the socket, and Run accepted nothing until the node was in sync, which has no limit.

Change: the node accepts at once. Beside a predecessor on the same socket it accepts nothing. Nodes without agreed settings start as before.

--- a/internal/node/doc.go
+++ b/internal/node/doc.go
@@ -25,7 +25,8 @@
 // that must not run twice (sentids). They hold nothing that a later node needs.
 //
 // While discovery or the registry is unreachable, a serving node continues with its current endpoint list and settings,
-// without a time limit. A node with a rollout that starts during that time waits until the registry counts it as in sync.
+// without a time limit. A node with a rollout that starts during that time rejects requests until the registry counts it
+// as in sync.
 //
 // An attempt for a client that has disconnected is stopped at two points. The pre-send check of package upstream prevents
 // it from being sent. If it is in flight, the loop reports the disconnect to the balancer, and the balancer cancels the
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -34,8 +34,9 @@
 // frontend reads client requests, posts them to the event loop and writes their responses. net/http calls it on the
 // goroutines of the connections.
 type frontend struct {
-	loop    *loop
-	metrics *metrics.Metrics
+	loop      *loop
+	metrics   *metrics.Metrics
+	readiness *readiness
 
 	conns     atomic.Int64 // open client connections
 	softLimit atomic.Int64 // at this number of connections, connections are closed after their response
@@ -45,7 +46,13 @@
 
 func newFrontend(l *loop) *frontend {
 	idle := clientconn.NewIdleConns()
-	return &frontend{loop: l, metrics: l.metrics, idle: idle, drain: clientconn.NewDrainer(idle)}
+	return &frontend{
+		loop:      l,
+		metrics:   l.metrics,
+		readiness: newReadiness(),
+		idle:      idle,
+		drain:     clientconn.NewDrainer(idle),
+	}
 }
 
 // setConnectionLimit sets softLimit to 3/4 of the connection limit, so that room is left for new connections.
@@ -124,9 +131,9 @@
 // the client limit.
 func (f *frontend) serveReadiness(w http.ResponseWriter) {
 	w.Header().Set("Connection", "close")
-	if f.drain.Draining() {
+	if f.drain.Draining() || !f.readiness.isReady() {
 		w.WriteHeader(http.StatusServiceUnavailable)
-	} // otherwise 200: the frontend serves only once requests can be handled
+	} // otherwise 200
 }
 
 // awaitResponse writes the final response to a request once the loop provides it, or ends the request if its client
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -46,7 +46,7 @@
 		defer n.lock.Close()
 		go n.awaitPredecessor(loopCtx)
 	}
-	if !n.awaitReady(ctx) {
+	if !n.awaitAccepting(ctx) {
 		return n.listener.Close()
 	}
 	return n.serve(ctx)
@@ -86,18 +86,30 @@
 	switch {
 	case err == nil:
 		slog.Info("no other process of this node is left")
+		close(n.predecessorGone)
 		n.setQuota(servingQuota)
 	case ctx.Err() == nil:
 		slog.Error("could not acquire the process lock; keeping the quota of a starting process", "error", err)
 	}
 }
 
-// awaitReady waits until the node may serve. It returns false if ctx ended first.
-func (n *Node) awaitReady(ctx context.Context) bool {
+// awaitAccepting waits until the node may accept connections. It returns false if ctx ended first. While a predecessor accepts
+// connections from the same socket, a node that follows rollouts waits until it is in sync.
+func (n *Node) awaitAccepting(ctx context.Context) bool {
 	if !n.cfg.Settings.PollDiscovery && n.registryWatcher == nil {
 		n.awaitFirstUpdate(ctx)
 	}
-	return n.awaitInSync(ctx)
+	if n.follower == nil || n.lock == nil {
+		return true
+	}
+	select {
+	case <-n.predecessorGone:
+		return true
+	case <-n.follower.InSync():
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // awaitFirstUpdate waits until the endpoint list is as new as that of discovery, for at most firstUpdateTimeout.
@@ -110,34 +122,38 @@
 	}
 }
 
-// awaitInSync waits until the registry counts this incarnation of the node as in sync, so that it never serves with
-// outdated settings. It returns false if ctx ended first. While the registry is unreachable, the wait has no limit.
-func (n *Node) awaitInSync(ctx context.Context) bool {
+// serve accepts connections until ctx ends, and then shuts the node down. A node that follows rollouts is ready once the
+// registry counts this incarnation as in sync, so that it never serves with outdated settings. Until then the frontend
+// rejects the requests that cannot wait. While the registry is unreachable, this has no limit.
+func (n *Node) serve(ctx context.Context) error {
+	var inSync <-chan struct{} // nil once the node is ready
 	if n.follower == nil {
-		return true
-	}
-	select {
-	case <-n.follower.InSync():
-		logVersionEvent(follower.NewServingEvent())
-		return true
-	case <-ctx.Done():
-		return false
+		n.becomeReady()
+	} else {
+		inSync = n.follower.InSync()
 	}
-}
-
-// serve serves clients until ctx ends, and then shuts the node down.
-func (n *Node) serve(ctx context.Context) error {
-	n.serving.Store(true)
 	server := n.frontend.server()
 	defer server.Close()
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(n.listener) }()
-	select {
-	case err := <-served:
-		return fmt.Errorf("serving clients: %w", err)
-	case <-ctx.Done():
+	for {
+		select {
+		case <-inSync:
+			inSync = nil
+			logVersionEvent(follower.NewServingEvent())
+			n.becomeReady()
+		case err := <-served:
+			return fmt.Errorf("serving clients: %w", err)
+		case <-ctx.Done():
+			return n.shutdown(served)
+		}
 	}
-	return n.shutdown(served)
+}
+
+// becomeReady makes the frontend handle requests.
+func (n *Node) becomeReady() {
+	n.serving.Store(true)
+	n.frontend.readiness.becomeReady()
 }
 
 // shutdown completes the accepted requests and returns once all connections are closed. served receives the result of the
@@ -145,6 +161,7 @@
 func (n *Node) shutdown(served <-chan error) error {
 	n.serving.Store(false)
 	n.stopping.Store(true)
+	n.frontend.readiness.stop()
 	cutoff := time.Now().Add(time.Duration(n.longestDeadline.Load()) + killGrace - killMargin)
 	n.loop.after(time.Until(cutoff), n.loop.abandonAll)
 	n.frontend.drain.Start()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,7 @@
 	listener        *clientconn.Listener
 	cfg             config.Config            // the configuration at startup; reloads do not change it
 	lock            *processlock.Lock        // nil if the process cannot be replaced while it serves
+	predecessorGone chan struct{}            // closed once the lock is acquired
 	control         *control.Server          // nil if no control address is configured
 	initialList     discovery.Update         // the endpoint list at startup
 	registryWatcher *client.Watcher          // nil if the node follows discovery
@@ -47,7 +48,7 @@
 	current         config.Config   // the current configuration
 	rolloutSettings json.RawMessage // nil if the settings come from the configuration
 
-	serving  atomic.Bool // set while clients are served
+	serving  atomic.Bool // set while requests are handled
 	stopping atomic.Bool // set once a shutdown has begun; accepted requests are still completed
 }
 
@@ -109,6 +110,7 @@
 		frontend:            front,
 		listener:            clientconn.NewListener(listener.Persistent{Listener: socket}, 1, front.idle.Evict),
 		cfg:                 cfg,
+		predecessorGone:     make(chan struct{}),
 		initialList:         cfg.InitialList,
 		acceptLingerTimeout: acceptLingerTimeout,
 		current:             cfg,
--- a/internal/node/read.go
+++ b/internal/node/read.go
@@ -31,6 +31,10 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	// The settings in force may have other classes than those that a starting node has.
+	if err := f.readiness.await(hr, timeLeft); err != nil {
+		return nil, nil, err
+	}
 	class := className(hr)
 	if err := f.check(hr, class); err != nil {
 		return nil, nil, err
--- a/internal/node/write.go
+++ b/internal/node/write.go
@@ -129,7 +129,8 @@
 		return http.StatusRequestTimeout
 	case errors.Is(err, errUnknownClass):
 		return http.StatusNotFound
-	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, errExpired), errors.Is(err, errBacklogged):
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, errExpired), errors.Is(err, errBacklogged),
+		errors.Is(err, errNotReady):
 		return http.StatusServiceUnavailable // the request has not been executed, and may be sent again
 	}
 	return http.StatusBadRequest
