Node: a node that is not ready counts no class that a peer has made up

Cause: since a node that is not ready answers requests before it checks their class, its 503s were counted for any class that a peer names, and each name stays in memory.

Change: rejections are counted for configured classes alone.

Result: TestNotReadyRejects, made stricter, failed before; it passes 5 of 5 with -race, and the tests of internal/node pass.

--- a/internal/node/classes.go
+++ b/internal/node/classes.go
@@ -24,6 +24,12 @@
 	return &c
 }
 
+// has reports whether a class with the given name is configured.
+func (c *classes) has(name string) bool {
+	_, known := (*c)[name]
+	return known
+}
+
 // check returns an error if a request of the class with the given name must be rejected because of its method or its headers.
 func (c *classes) check(name string, hr *http.Request) error {
 	class, known := (*c)[name]
--- a/internal/node/frontend.go
+++ b/internal/node/frontend.go
@@ -104,8 +104,8 @@
 	r, release, err := f.read(w, hr)
 	if err != nil {
 		f.loop.ends.notAccepted(hr, err)
-		if rejectionStatus(err) == http.StatusServiceUnavailable {
-			f.metrics.CountResponse(className(hr), http.StatusServiceUnavailable, false)
+		if class := className(hr); rejectionStatus(err) == http.StatusServiceUnavailable && f.loop.classes.Load().has(class) {
+			f.metrics.CountResponse(class, http.StatusServiceUnavailable, false)
 		}
 		reject(w, err)
 		return
--- a/internal/node/readiness_test.go
+++ b/internal/node/readiness_test.go
@@ -63,6 +63,9 @@
 	if n.serving.Load() {
 		t.Error("the node counts as serving")
 	}
+	if text := n.loop.metrics.JSON(); strings.Contains(text, `"later"`) {
+		t.Errorf("a class that a peer has made up is counted: %s", text)
+	}
 }
 
 // A request that arrives before the node is ready is handled as soon as it is.
