--- a/internal/node/watcher_test.go
+++ b/internal/node/watcher_test.go
@@ -240,3 +240,27 @@
 		t.Errorf("after a watch of one minute the delay is %v, want minRewatchDelay", got)
 	}
 }
+
+// Guards against a node that begins to serve with a list that the balancer does not have yet.
+func TestListReadyOnceBalancerHasIt(t *testing.T) {
+	t.Parallel()
+	var n *Node
+	updates := 0
+	n, err := newNode(testConfig("127.0.0.1:1"), balancerFunc(func(e balancer.Event) []balancer.Action {
+		if _, isUpdate := e.(balancer.EndpointUpdate); isUpdate {
+			updates++
+			if n.loop.watcher.isListReady {
+				t.Error("the list is ready before the balancer has it")
+			}
+		}
+		return nil
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { n.listener.Close() })
+	n.loop.applyUpdate(discovery.Update{Revision: 9, Full: true}, false)
+	if updates != 1 || !n.loop.watcher.isListReady {
+		t.Errorf("%d updates, list ready %v", updates, n.loop.watcher.isListReady)
+	}
+}
