--- a/internal/node/readiness.go
+++ b/internal/node/readiness.go
@@ -20,7 +20,7 @@
 // errNotReady is the reason for rejecting a request whose client cannot wait until the node is ready.
 var errNotReady = errors.New("the node is not ready")
 
-// readiness tells whether the node may handle requests. It becomes ready once, and is safe for concurrent use.
+// readiness reports whether the node may handle requests. It becomes ready once, and is safe for concurrent use.
 type readiness struct {
 	ready    chan struct{} // closed when the node becomes ready
 	stopped  chan struct{} // closed when the node shuts down
@@ -31,7 +31,7 @@
 	return &readiness{ready: make(chan struct{}), stopped: make(chan struct{})}
 }
 
-// becomeReady lets all requests be handled. It may be called once.
+// becomeReady allows all requests to be handled. It may be called once.
 func (r *readiness) becomeReady() { close(r.ready) }
 
 // stop ends the wait of all requests.
